--- /dev/null
+++ b/cmd/jacinthladder/operate.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"jacinthladder.dev/internal/conf/spec"
+	"jacinthladder.dev/internal/plat/object"
+	"jacinthladder.dev/internal/tools/admin"
+)
+
+// callTime bounds one call of an operator's command to the platform.
+const callTime = 10 * time.Second
+
+// platformFlag adds the flag that names the platform, and returns the way to
+// it.
+func platformFlag(c *cobra.Command) func() *admin.Admin {
+	base := c.PersistentFlags().String("platform", "http://127.0.0.1:7070", "base address of the platform's Object API")
+	return func() *admin.Admin {
+		return &admin.Admin{Store: object.Dial(*base, &http.Client{Timeout: callTime})}
+	}
+}
+
+func newService() *cobra.Command {
+	c := &cobra.Command{Use: "service", Short: "Check, apply and show service documents"}
+	dial := platformFlag(c)
+	check := &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a service document without the platform",
+		Example: "  jacinthladder service check examples/okonjo/drafting-models.jsonc",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			src, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			s, err := spec.Parse(args[0], src, 0)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: service %s is well formed: %d endpoints, %d client accounts\n",
+				args[0], s.Name(), len(s.Endpoints()), len(s.Accounts()))
+			return nil
+		},
+	}
+	c.AddCommand(check, newApply(dial), newShowService(dial))
+	return c
+}
+
+func newApply(dial func() *admin.Admin) *cobra.Command {
+	var base int64
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Put a service document in force",
+		Long: `Apply checks a document as a whole, with the budgets that it names, and puts
+it in force. For a service that exists, --base is the version that the document
+was made from, as show prints it. If someone else has changed the service since,
+nothing is written, and the exit code is 3.`,
+		Example: "  jacinthladder service apply drafting-models.jsonc --base 17",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			src, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			s, version, err := dial().Apply(c.Context(), args[0], src, base)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "service %s is at version %d\n", s.Name(), version)
+			return nil
+		},
+	}
+	c.Flags().Int64Var(&base, "base", 0, "version that the document was made from, 0 for a new service")
+	return c
+}
+
+func newShowService(dial func() *admin.Admin) *cobra.Command {
+	return &cobra.Command{
+		Use:     "show NAME",
+		Short:   "Print a service document; its version goes to standard error",
+		Example: "  jacinthladder service show drafting-models > drafting-models.jsonc",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			src, version, err := dial().Service(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.ErrOrStderr(), "service %s is at version %d\n", args[0], version)
+			_, err = c.OutOrStdout().Write(src)
+			return err
+		},
+	}
+}
+
+func newBudget() *cobra.Command {
+	c := &cobra.Command{Use: "budget", Short: "Create, top up, attach and show prepaid budgets"}
+	dial := platformFlag(c)
+	var account, id string
+	var amount int64
+	create := &cobra.Command{
+		Use:     "create NAME --account ACCOUNT",
+		Short:   "Create an empty budget of a client account",
+		Example: "  jacinthladder budget create field-north-main --account field-north",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if err := dial().CreateBudget(c.Context(), args[0], account); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "budget %s of account %s is there, with nothing paid\n", args[0], account)
+			return nil
+		},
+	}
+	create.Flags().StringVar(&account, "account", "", "client account that owns the budget")
+	topup := &cobra.Command{
+		Use:     "topup NAME --id ID --amount N",
+		Short:   "Pay micro-units into a budget, once for each ID",
+		Example: "  jacinthladder budget topup field-north-main --id invoice-2207 --amount 5000000",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := dial().TopUp(c.Context(), args[0], id, amount)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "budget %s has %d paid, %d free\n", args[0], b.Paid(), b.Free())
+			return nil
+		},
+	}
+	topup.Flags().StringVar(&id, "id", "", "ID of the payment; repeating it pays nothing more")
+	topup.Flags().Int64Var(&amount, "amount", 0, "micro-units")
+	attach := &cobra.Command{
+		Use:     "attach BUDGET SERVICE",
+		Short:   "Let the budget's account spend it on a service",
+		Example: "  jacinthladder budget attach field-north-main drafting-models",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			version, err := dial().Attach(c.Context(), args[0], args[1])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "service %s is at version %d\n", args[1], version)
+			return nil
+		},
+	}
+	show := &cobra.Command{
+		Use:     "show NAME",
+		Short:   "Explain where every micro-unit of a budget is",
+		Example: "  jacinthladder budget show field-north-main",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := dial().Budget(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(c.OutOrStdout(), admin.Explain(args[0], b))
+			return nil
+		},
+	}
+	require(create, "account")
+	require(topup, "id", "amount")
+	c.AddCommand(create, topup, attach, show)
+	return c
+}
+
+func newAccount() *cobra.Command {
+	c := &cobra.Command{Use: "account", Short: "Create and show client accounts"}
+	dial := platformFlag(c)
+	create := &cobra.Command{
+		Use:     "create NAME",
+		Short:   "Create a client account and print its bearer key, once",
+		Example: "  jacinthladder account create field-north",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			key := admin.NewKey()
+			if _, err := dial().CreateAccount(c.Context(), args[0], key); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), key)
+			return nil
+		},
+	}
+	add := &cobra.Command{
+		Use:     "key NAME",
+		Short:   "Give a client account one more bearer key and print it, once",
+		Example: "  jacinthladder account key field-north",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			key := admin.NewKey()
+			if _, err := dial().AddKey(c.Context(), args[0], key); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), key)
+			return nil
+		},
+	}
+	show := &cobra.Command{
+		Use:     "show NAME",
+		Short:   "Show a client account",
+		Example: "  jacinthladder account show field-north",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			a, version, err := dial().Account(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "account %s has %d keys, version %d\n", a.Name, len(a.Keys), version)
+			return nil
+		},
+	}
+	c.AddCommand(create, add, show)
+	return c
+}
+
+// require marks flags as needed.
+func require(c *cobra.Command, flags ...string) {
+	for _, f := range flags {
+		if err := c.MarkFlagRequired(f); err != nil {
+			panic(errors.Wrap(err, f)) // the flags are defined beside the call
+		}
+	}
+}
--- /dev/null
+++ b/cmd/jacinthladder/try.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"jacinthladder.dev/internal/tools/trial"
+)
+
+func newTry() *cobra.Command {
+	var level string
+	load := trial.DefaultLoad()
+	c := &cobra.Command{
+		Use:   "try",
+		Short: "Run the whole path on loopback and print a report",
+		Long: `Try starts a platform, engines and plain services as stand-ins, and five
+instances in four availability zones, all in this process on loopback. It sends
+a short load, stops the instances as planned, and prints a report. It exits
+with 4 if anything that must always hold did not.`,
+		Example: "  jacinthladder try\n  jacinthladder try --rate 800 --time 10s --level info",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			logger, err := newLogger(c.ErrOrStderr(), level, "text")
+			if err != nil {
+				return err
+			}
+			began := time.Now()
+			if err := trial.Run(c.Context(), trial.Default(logger), load, c.OutOrStdout()); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%-22sall invariants held, %s in all\n", "verdict", time.Since(began).Round(time.Millisecond))
+			return nil
+		},
+	}
+	c.Flags().StringVar(&level, "level", "error", "lowest level that is logged: debug, info, warn, error")
+	c.Flags().IntVar(&load.Count, "count", load.Count, "requests to send")
+	c.Flags().Float64Var(&load.Rate, "rate", load.Rate, "requests a second")
+	c.Flags().DurationVar(&load.Time, "time", load.Time, "longest time to send for")
+	c.Flags().IntVar(&load.Workers, "workers", load.Workers, "requests open at once")
+	c.Flags().Uint64Var(&load.Seed, "seed", load.Seed, "seed of the load")
+	return c
+}
--- /dev/null
+++ b/coord/escrow/book.go
@@ -0,0 +1,271 @@
+package escrow
+
+import (
+	"encoding/json"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxPaid is the most that can be paid into one budget, in micro-units. It
+// leaves room for counters that only rise, and is exact in JSON.
+const MaxPaid = 1 << 53
+
+var (
+	// ErrAmount means an amount that is not above 0 or does not fit the budget.
+	ErrAmount = errors.New("escrow: amount out of range")
+	// ErrTopUp means a top-up ID that was used before for another amount.
+	ErrTopUp = errors.New("escrow: top-up ID is taken by another amount")
+	// ErrBroken means that a change would break rule S1 or S2.
+	ErrBroken = errors.New("escrow: rule would be broken")
+)
+
+// State is the state of a row.
+type State string
+
+const (
+	// Open rows belong to a holder that may spend.
+	Open State = "open"
+	// Sealed rows have been won back; the holder may spend up to the bound.
+	Sealed State = "sealed"
+	// Closed rows are settled but for transfers that peers have yet to credit.
+	Closed State = "closed"
+)
+
+// Row is what the platform knows of one share.
+type Row struct {
+	raw rowText
+}
+
+type rowText struct {
+	Granted  int64            `json:"granted"`
+	Returned int64            `json:"returned"`
+	Used     int64            `json:"used"`
+	Sent     map[string]int64 `json:"sent,omitempty"`
+	Received map[string]int64 `json:"received,omitempty"`
+	Seq      int64            `json:"seq"`
+	State    State            `json:"state"`
+	Guards   []string         `json:"guards,omitempty"`
+	Alone    int64            `json:"alone,omitempty"`
+	Bound    int64            `json:"bound,omitempty"`
+}
+
+// Granted returns all that was ever drawn, in micro-units.
+func (r *Row) Granted() int64 { return r.raw.Granted }
+
+// Returned returns all that was ever given back.
+func (r *Row) Returned() int64 { return r.raw.Returned }
+
+// Used returns the settled use as last reported.
+func (r *Row) Used() int64 { return r.raw.Used }
+
+// Sent returns the transfers to other shares as last reported.
+func (r *Row) Sent() int64 { return total(r.raw.Sent) }
+
+// Received returns the transfers from other shares as last reported.
+func (r *Row) Received() int64 { return total(r.raw.Received) }
+
+// Seq returns the number of the holder's last write.
+func (r *Row) Seq() int64 { return r.raw.Seq }
+
+// State returns whether the row is open, sealed or closed.
+func (r *Row) State() State { return r.raw.State }
+
+// Guards returns the names of the witnesses.
+func (r *Row) Guards() []string { return r.raw.Guards }
+
+// Alone returns what the holder may spend without its witnesses.
+func (r *Row) Alone() int64 { return r.raw.Alone }
+
+// Bound returns, for a sealed row, the most that can have flowed out.
+func (r *Row) Bound() int64 { return r.raw.Bound }
+
+// Idle returns what the holder had left to spend when it last reported.
+func (r *Row) Idle() int64 {
+	return r.raw.Granted + r.Received() - r.raw.Returned - r.raw.Used - r.Sent()
+}
+
+func (r *Row) outstanding() int64 { return r.raw.Granted - r.raw.Returned }
+
+// Book is one budget as the platform keeps it.
+type Book struct {
+	account string
+	paid    int64
+	spent   int64
+	tops    map[string]int64
+	rows    map[string]*Row
+	changed bool // a row was sealed since the book was read
+}
+
+type bookText struct {
+	Account string             `json:"account"`
+	Paid    int64              `json:"paid"`
+	Spent   int64              `json:"spent"`
+	Tops    map[string]int64   `json:"tops"`
+	Rows    map[string]rowText `json:"rows"`
+}
+
+// NewBook returns an empty budget of a client account.
+func NewBook(account string) *Book {
+	return &Book{account: account, tops: map[string]int64{}, rows: map[string]*Row{}}
+}
+
+// Account returns the client account that owns the budget.
+func (b *Book) Account() string { return b.account }
+
+// Paid returns all that was paid in.
+func (b *Book) Paid() int64 { return b.paid }
+
+// Spent returns the use of shares that are closed and folded away.
+func (b *Book) Spent() int64 { return b.spent }
+
+// Holders returns the IDs of the shares with a row, sorted.
+func (b *Book) Holders() []string { return slices.Sorted(maps.Keys(b.rows)) }
+
+// Row returns the row of a share, nil if there is none.
+func (b *Book) Row(id string) *Row { return b.rows[id] }
+
+// Free returns what no share holds.
+func (b *Book) Free() int64 {
+	free := b.paid - b.spent
+	for _, r := range b.rows {
+		free -= r.outstanding()
+	}
+	return free
+}
+
+// TopUp pays amount in. Repeating a top-up with the same ID changes nothing.
+func (b *Book) TopUp(id string, amount int64) error {
+	if old, ok := b.tops[id]; ok {
+		if old != amount {
+			return ErrTopUp
+		}
+		return nil
+	}
+	if id == "" || amount <= 0 || amount > MaxPaid-b.paid {
+		return ErrAmount
+	}
+	b.tops[id] = amount
+	b.paid += amount
+	return nil
+}
+
+// Check returns ErrBroken if rule S1 does not hold or a counter is not sane.
+func (b *Book) Check() error {
+	if b.paid < 0 || b.paid > MaxPaid {
+		return errors.Wrapf(ErrBroken, "paid %d", b.paid)
+	}
+	for id, r := range b.rows {
+		if r.raw.Granted < 0 || r.raw.Returned < 0 || r.raw.Used < 0 || r.raw.Granted > math.MaxInt64/2 {
+			return errors.Wrapf(ErrBroken, "row %s has a counter out of range", id)
+		}
+	}
+	if free := b.Free(); free < 0 {
+		return errors.Wrapf(ErrBroken, "rows hold %d more than was paid", -free)
+	}
+	return nil
+}
+
+// MarshalJSON writes the book as the platform keeps it.
+func (b *Book) MarshalJSON() ([]byte, error) {
+	t := bookText{Account: b.account, Paid: b.paid, Spent: b.spent, Tops: b.tops, Rows: map[string]rowText{}}
+	for id, r := range b.rows {
+		t.Rows[id] = r.raw
+	}
+	return json.Marshal(t)
+}
+
+// UnmarshalJSON reads a book and checks it.
+func (b *Book) UnmarshalJSON(data []byte) error {
+	t := bookText{}
+	if err := json.Unmarshal(data, &t); err != nil {
+		return errors.Wrap(err, "escrow: book")
+	}
+	*b = *NewBook(t.Account)
+	b.paid, b.spent = t.Paid, t.Spent
+	maps.Copy(b.tops, t.Tops)
+	for id, r := range t.Rows {
+		b.rows[id] = &Row{raw: r}
+	}
+	return b.Check()
+}
+
+// open returns the row of a share, made if need be.
+func (b *Book) open(id string) *Row {
+	r := b.rows[id]
+	if r == nil {
+		r = &Row{raw: rowText{State: Open}}
+		b.rows[id] = r
+	}
+	return r
+}
+
+// draw grants the share id up to want from what is free, at least need as far
+// as that goes. Beyond need it takes no more than half of an equal part, so
+// that the last of a budget is not scattered.
+func (b *Book) draw(id string, need, want int64) int64 {
+	free := b.Free()
+	active := int64(0)
+	for _, r := range b.rows {
+		if r.raw.State == Open {
+			active++
+		}
+	}
+	fair := free / (2 * max(active, 1))
+	grant := min(max(need, min(want, fair)), free)
+	r := b.open(id)
+	grant = min(grant, math.MaxInt64/2-r.raw.Granted)
+	if grant <= 0 {
+		return 0
+	}
+	r.raw.Granted += grant
+	return grant
+}
+
+// seal wins back what the share id can't have used, given the most that can
+// have flowed out of it, and returns the amount.
+func (b *Book) seal(id string, bound int64) int64 {
+	r := b.rows[id]
+	back := max(r.raw.Granted-bound, r.raw.Returned)
+	won := back - r.raw.Returned
+	r.raw.Returned = back
+	r.raw.State = Sealed
+	r.raw.Bound = bound
+	b.changed = true
+	return won
+}
+
+// fold removes the closed rows whose transfers are credited on both sides.
+func (b *Book) fold() {
+	for id, r := range b.rows {
+		if r.raw.State == Closed && b.matched(id, r) {
+			b.spent += r.outstanding()
+			delete(b.rows, id)
+		}
+	}
+}
+
+func (b *Book) matched(id string, c *Row) bool {
+	for other, r := range b.rows {
+		if other == id {
+			continue
+		}
+		if r.raw.Sent[id] != c.raw.Received[other] && r.raw.Sent[id] != 0 {
+			return false
+		}
+		if c.raw.Sent[other] > r.raw.Received[id] {
+			return false
+		}
+	}
+	return true
+}
+
+func total(amounts map[string]int64) int64 {
+	var sum int64
+	for _, a := range amounts {
+		sum += a
+	}
+	return sum
+}
--- /dev/null
+++ b/coord/escrow/holder.go
@@ -0,0 +1,271 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Holder keeps the shares of one process.
+type Holder struct {
+	process  string
+	platform Platform
+	peers    Peers
+	fault    func(error)
+
+	mu     sync.RWMutex
+	shares map[string]*Share // by budget
+	old    []*Share          // sealed, waiting for open reservations to settle
+	opened int
+	closed bool
+
+	witness Witness
+	kicks   chan *Share
+}
+
+// NewHolder returns a holder for a process whose ID, "name/incarnation", no
+// other process ever has. Broken rules are reported to fault.
+func NewHolder(process string, platform Platform, peers Peers, fault func(error)) *Holder {
+	return &Holder{
+		process:  process,
+		platform: platform,
+		peers:    peers,
+		fault:    fault,
+		shares:   map[string]*Share{},
+		kicks:    make(chan *Share, 1024),
+	}
+}
+
+// Process returns the process ID.
+func (h *Holder) Process() string { return h.process }
+
+// Witness returns the marks that this process keeps for its peers.
+func (h *Holder) Witness() *Witness { return &h.witness }
+
+// ProcessOf returns the process ID in a share ID.
+func ProcessOf(share string) string {
+	if i := strings.LastIndexByte(share, '/'); i > 0 {
+		return share[:i]
+	}
+	return share
+}
+
+// Share returns the share of a budget, made if need be. It draws nothing yet.
+func (h *Holder) Share(budget string, p Policy) *Share {
+	h.mu.RLock()
+	s := h.shares[budget]
+	h.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.shares[budget]; s != nil {
+		return s
+	}
+	h.opened++
+	s = NewShare(budget, fmt.Sprintf("%s/%d", h.process, h.opened), h.fault)
+	s.sync.policy = p
+	s.closing = h.closed
+	h.shares[budget] = s
+	return s
+}
+
+// find returns the share with the given ID, nil if there is none.
+func (h *Holder) find(budget, id string) *Share {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if s := h.shares[budget]; s != nil && s.id == id {
+		return s
+	}
+	for _, s := range h.old {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// Shares returns the shares held, sorted by budget.
+func (h *Holder) Shares() []*Share {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	all := make([]*Share, 0, len(h.shares)+len(h.old))
+	for _, b := range slices.Sorted(maps.Keys(h.shares)) {
+		all = append(all, h.shares[b])
+	}
+	return append(all, h.old...)
+}
+
+// Run refills shares ahead of need, raises marks and repeats gifts until ctx
+// ends.
+func (h *Holder) Run(ctx context.Context) {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-h.kicks:
+			h.top(ctx, s)
+		case now := <-t.C:
+			h.Tick(ctx, now)
+		}
+	}
+}
+
+// Tick does once what Run does again and again.
+func (h *Holder) Tick(ctx context.Context, now time.Time) {
+	shares := h.Shares()
+	for _, s := range shares {
+		s.mu.Lock()
+		s.flow.tick(now)
+		s.mu.Unlock()
+		if (s.low() || h.unguarded(s)) && !s.dry(now) {
+			h.top(ctx, s)
+		}
+	}
+	h.raise(ctx, shares)
+	h.repeat(ctx, shares)
+	h.dropSettled(ctx)
+}
+
+// top refills a share ahead of need. A failure shows when need comes.
+func (h *Holder) top(ctx context.Context, s *Share) {
+	if err := h.refill(ctx, s, 0, time.Now()); err != nil {
+		return
+	}
+}
+
+// kick asks Run for a refill, if it is not busy.
+func (h *Holder) kick(s *Share) {
+	select {
+	case h.kicks <- s:
+	default:
+	}
+}
+
+// repeat sends the gifts that are not acknowledged.
+func (h *Holder) repeat(ctx context.Context, shares []*Share) {
+	if h.peers.Give == nil {
+		return
+	}
+	for _, s := range shares {
+		for _, g := range s.unacked() {
+			h.deliver(ctx, s, g)
+		}
+	}
+}
+
+func (h *Holder) deliver(ctx context.Context, s *Share, g Gift) {
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	if r, err := h.peers.Give(call, ProcessOf(g.To), g); err == nil {
+		s.settleGift(g.To, r)
+	}
+}
+
+// TakeGift credits a gift from a peer.
+func (h *Holder) TakeGift(g Gift) (Receipt, error) {
+	s := h.find(g.Budget, g.To)
+	if s == nil {
+		return Receipt{}, errors.Wrapf(ErrUnknownShare, "gift to %s", g.To)
+	}
+	return s.credit(g), nil
+}
+
+// TakePlea answers a peer that asks for a part of a share.
+func (h *Holder) TakePlea(p Plea) Reply {
+	h.mu.RLock()
+	s := h.shares[p.Budget]
+	h.mu.RUnlock()
+	if s == nil {
+		return Reply{}
+	}
+	g := s.give(p.From, p.Need, p.Want)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Reply{Gift: g, Room: s.room(), Opened: s.reserved}
+}
+
+// dropSettled closes the sealed shares whose reservations have all settled.
+func (h *Holder) dropSettled(ctx context.Context) {
+	h.mu.RLock()
+	old := slices.Clone(h.old)
+	h.mu.RUnlock()
+	for _, s := range old {
+		if s.Figures().reserved == 0 {
+			h.closeShare(ctx, s)
+		}
+	}
+}
+
+// Close returns what is left of every share, tries again until ctx ends, and
+// reports the budgets whose share could not be returned. The caller first lets
+// open reservations settle and stops Run.
+func (h *Holder) Close(ctx context.Context) error {
+	h.mu.Lock()
+	h.closed = true
+	h.mu.Unlock()
+	var left []string
+	for _, s := range h.Shares() {
+		for !h.closeShare(ctx, s) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(tickTime):
+				continue
+			}
+			left = append(left, s.budget)
+			break
+		}
+	}
+	if len(left) > 0 {
+		return errors.Newf("escrow: shares left behind: %s", strings.Join(left, ", "))
+	}
+	return nil
+}
+
+// closeShare ends a share and reports whether its row is closed.
+func (h *Holder) closeShare(ctx context.Context, s *Share) bool {
+	h.collect(ctx, s)
+	if err := s.sync.enter(ctx); err != nil {
+		return false
+	}
+	defer s.sync.leave()
+	s.mu.Lock()
+	s.closing = true
+	busy := s.reserved > 0
+	unused := s.granted == 0 && len(s.gotFrom) == 0 && s.sync.seq == 0
+	s.mu.Unlock()
+	if busy {
+		return false
+	}
+	if !unused {
+		if err := h.update(ctx, s, 0, closeRow); err != nil {
+			return false
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.shares[s.budget] == s {
+		delete(h.shares, s.budget)
+	}
+	h.old = slices.DeleteFunc(h.old, func(o *Share) bool { return o == s })
+	return true
+}
+
+// collect asks the peers that have given to s for what may be under way.
+func (h *Holder) collect(ctx context.Context, s *Share) {
+	if h.peers.Ask == nil || h.peers.Near == nil {
+		return
+	}
+	for _, p := range h.peers.Near() {
+		h.ask(ctx, s, p, 0, 0)
+	}
+}
--- /dev/null
+++ b/coord/escrow/seams.go
@@ -0,0 +1,86 @@
+package escrow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrMissing means that there is no such budget.
+	ErrMissing = errors.New("escrow: no such budget")
+	// ErrConflict means that another write came first; nothing was written.
+	ErrConflict = errors.New("escrow: book has changed")
+	// ErrExhausted means that the budget can't pay for the request.
+	ErrExhausted = errors.New("escrow: budget is exhausted")
+	// ErrCutOff means that the share can't pay for the request and that the
+	// platform, which may have more, can't be reached.
+	ErrCutOff = errors.New("escrow: share is used up and the platform is out of reach")
+)
+
+// Platform keeps the books. Any error but ErrMissing and ErrConflict means
+// that the outcome is unknown: a write may or may not have taken effect.
+type Platform struct {
+	// Read returns a book and the version for Write.
+	Read func(ctx context.Context, budget string) (*Book, int64, error)
+	// Write replaces a book if its version is unchanged.
+	Write func(ctx context.Context, budget string, version int64, b *Book) error
+}
+
+// Raised is one share's new mark.
+type Raised struct {
+	ID    string // share ID
+	Limit int64  // micro-units that may flow out in all
+}
+
+// Peers reach the other holders, by share ID or process ID. A nil function
+// means that there are no peers for that.
+type Peers struct {
+	// Near returns the process IDs of live peers, the nearest first.
+	Near func() []string
+	// Ask sends a plea to a process.
+	Ask func(ctx context.Context, process string, p Plea) (Reply, error)
+	// Give delivers a gift to the process of its receiver.
+	Give func(ctx context.Context, process string, g Gift) (Receipt, error)
+	// Guards returns the process IDs of two witnesses outside the holder's zone
+	// where there are any, fewer if there are not enough peers.
+	Guards func() []string
+	// Raise records marks at a witness. It returns the IDs that are sealed.
+	Raise func(ctx context.Context, process string, marks []Raised) (sealed []string, err error)
+	// Seal seals a share at a witness and returns its highest mark.
+	Seal func(ctx context.Context, process, id string) (int64, error)
+	// Silent reports whether a process has not been heard for so long that
+	// winning back its shares is worth a try. It may be wrong.
+	Silent func(process string) bool
+}
+
+// Policy says how a holder treats one budget.
+type Policy struct {
+	// Endure is how long a share should last at the present demand.
+	Endure time.Duration
+	// Alone is what may be spent without a witness, in micro-units. With 0 the
+	// holder needs no witness, and nothing it leaves can be won back by peers.
+	Alone int64
+}
+
+const (
+	// callTime bounds one call to the platform or a peer.
+	callTime = 2 * time.Second
+	// askTime bounds one plea to a peer while a request waits.
+	askTime = 250 * time.Millisecond
+	// tickTime is the interval of Run.
+	tickTime = 250 * time.Millisecond
+	// dryTime is how long the platform's word that nothing is free is believed.
+	dryTime = 250 * time.Millisecond
+	// awayTime is how long after a failed call the platform is left alone.
+	awayTime = 500 * time.Millisecond
+	// askLimit is the most peers asked for one reservation.
+	askLimit = 8
+	// floorCount is the least that a share should hold, in largest requests.
+	floorCount = 16
+	// markCount and markTime size the part of a share that a witness has
+	// cleared ahead: largest requests, and time at the present demand.
+	markCount = 8
+	markTime  = 2 * time.Second
+)
--- /dev/null
+++ b/coord/escrow/sync.go
@@ -0,0 +1,172 @@
+package escrow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// syncTries bounds the conflicts that one synchronisation takes.
+const syncTries = 12
+
+// mode says what a synchronisation does to the row.
+type mode int
+
+const (
+	refillRow mode = iota
+	closeRow
+)
+
+// refill draws on the platform for a share that lacks need, unless a read that
+// began after since has already brought what there was.
+func (h *Holder) refill(ctx context.Context, s *Share, need int64, since time.Time) error {
+	if err := s.sync.enter(ctx); err != nil {
+		return err
+	}
+	defer s.sync.leave()
+	s.mu.Lock()
+	done := s.closing || s.sync.startAt.After(since)
+	s.mu.Unlock()
+	if done {
+		return nil
+	}
+	return h.update(ctx, s, need, refillRow)
+}
+
+// update brings the share's row on the platform in line, again after each
+// conflict, with the gate held. An unknown outcome is an error here; as all
+// counters only rise, the next update puts it right.
+func (h *Holder) update(ctx context.Context, s *Share, need int64, m mode) error {
+	for range syncTries {
+		err := h.try(ctx, s, need, m)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, ErrConflict) {
+			s.mu.Lock()
+			s.sync.failAt = time.Now()
+			s.mu.Unlock()
+			return err
+		}
+	}
+	return ErrConflict
+}
+
+// try reads the book once, and writes it if this share has something to say.
+func (h *Holder) try(ctx context.Context, s *Share, need int64, m mode) error {
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	began := time.Now()
+	b, version, err := h.platform.Read(call, s.budget)
+	if err != nil {
+		return err
+	}
+	s.absorb(b, began)
+	if m == refillRow {
+		if s.isSealed() {
+			h.retire(s)
+			return ErrSealed
+		}
+		h.winBack(ctx, b, need)
+		h.enlist(ctx, s)
+	}
+	if !s.edit(b, need, m) {
+		return nil
+	}
+	b.fold()
+	if err := b.Check(); err != nil {
+		h.report(err)
+		return err
+	}
+	if err := h.platform.Write(call, s.budget, version, b); err != nil {
+		return err
+	}
+	s.absorb(b, began)
+	return nil
+}
+
+func (h *Holder) report(err error) {
+	if h.fault != nil {
+		h.fault(err)
+	}
+}
+
+// absorb takes in what the book says about this share and its peers.
+func (s *Share) absorb(b *Book, began time.Time) {
+	s.mu.Lock()
+	c := &s.sync
+	c.owner = b.account
+	c.free = b.Free()
+	c.readAt = time.Now()
+	c.startAt = began
+	if r := b.rows[s.id]; r != nil {
+		s.granted = max(s.granted, r.raw.Granted)
+		c.seq = max(c.seq, r.raw.Seq)
+		c.sealed = c.sealed || r.raw.State == Sealed
+		c.guards, c.proposed = r.raw.Guards, nil
+		s.lift()
+	}
+	s.check()
+	s.wake()
+	s.mu.Unlock()
+	for id, r := range b.rows {
+		if sum := r.raw.Sent[s.id]; sum > 0 {
+			s.credit(Gift{Budget: s.budget, From: id, To: s.id, Total: sum})
+		}
+		if r.raw.State == Closed {
+			s.settleGift(id, Receipt{Credited: r.raw.Received[s.id], Final: true})
+		}
+	}
+}
+
+func (s *Share) isSealed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sync.sealed
+}
+
+// edit changes the share's row in b and reports whether anything changed that
+// is worth a write.
+func (s *Share) edit(b *Book, need int64, m mode) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &s.sync
+	r := b.open(s.id)
+	var grant int64
+	switch m {
+	case refillRow:
+		want := s.target() - s.idle()
+		grant = b.draw(s.id, need, max(want, 0))
+	case closeRow:
+		s.returned += s.idle()
+		r.raw.State = Closed
+	}
+	same := len(c.proposed) == 0 || slices.Equal(r.raw.Guards, c.proposed)
+	if m == refillRow && grant == 0 && same && !b.changed {
+		return false
+	}
+	s.report(r)
+	if !same {
+		r.raw.Guards = c.proposed
+		r.raw.Alone = c.policy.Alone
+	}
+	c.seq++
+	r.raw.Seq = c.seq
+	return true
+}
+
+// retire puts a sealed share aside. It takes no more reservations; the budget
+// gets a new share.
+func (h *Holder) retire(s *Share) {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.shares[s.budget] == s {
+		delete(h.shares, s.budget)
+		h.old = append(h.old, s)
+	}
+}
--- /dev/null
+++ b/coord/member/member.go
@@ -0,0 +1,182 @@
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// silentBeats is after how many intervals without news a process is silent.
+	silentBeats = 5
+	// forgetTime is how long a silent process is remembered.
+	forgetTime = 10 * time.Minute
+	// sampleSize is the most members that one message carries.
+	sampleSize = 48
+)
+
+// Member is one process as it describes itself.
+type Member struct {
+	Process string // "name/incarnation", which no other process ever has
+	Zone    string
+	Address string // IP number and port for peers
+	Count   uint64 // heartbeats since it began
+	Leaving bool
+}
+
+// Name returns the instance name in a process ID.
+func Name(process string) string {
+	name, _, _ := strings.Cut(process, "/")
+	return name
+}
+
+type record struct {
+	Member
+	heard time.Time
+}
+
+// Table is what one process knows of the fleet. Make one with NewTable.
+type Table struct {
+	interval time.Duration
+
+	mu    sync.Mutex
+	self  Member
+	known map[string]*record
+	next  int // where the next sample begins
+}
+
+// NewTable returns a table that knows only its own process, which counts a
+// heartbeat at every interval.
+func NewTable(self Member, interval time.Duration) *Table {
+	return &Table{self: self, interval: interval, known: map[string]*record{}}
+}
+
+// Beat counts a heartbeat and returns the own entry.
+func (t *Table) Beat() Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Count++
+	return t.self
+}
+
+// Self returns the own entry.
+func (t *Table) Self() Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Leave marks the own process as leaving.
+func (t *Table) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Leaving = true
+	t.self.Count++
+}
+
+// Merge takes in news of members at a time.
+func (t *Table) Merge(now time.Time, news ...Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range news {
+		if m.Process == "" || m.Process == t.self.Process {
+			continue
+		}
+		r := t.known[m.Process]
+		if r == nil {
+			r = &record{}
+			t.known[m.Process] = r
+		}
+		if m.Count > r.Count {
+			r.Member, r.heard = m, now
+		}
+	}
+	for p, r := range t.known {
+		if now.Sub(r.heard) > forgetTime {
+			delete(t.known, p)
+		}
+	}
+}
+
+// Live returns the members that are not silent, those of the own zone first,
+// then in order of process ID.
+func (t *Table) Live(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var live []Member
+	for _, r := range t.known {
+		if !t.silent(r, now) {
+			live = append(live, r.Member)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(t.distance(a), t.distance(b)), cmp.Compare(a.Process, b.Process))
+	})
+	return live
+}
+
+func (t *Table) distance(m Member) int {
+	if m.Zone == t.self.Zone {
+		return 0
+	}
+	return 1
+}
+
+func (t *Table) silent(r *record, now time.Time) bool {
+	return now.Sub(r.heard) > silentBeats*t.interval
+}
+
+// Silent reports whether a process that was once heard has fallen silent. A
+// process that was never heard is silent too.
+func (t *Table) Silent(process string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if process == t.self.Process {
+		return false
+	}
+	r := t.known[process]
+	return r == nil || t.silent(r, now)
+}
+
+// Address returns where a process takes calls of peers.
+func (t *Table) Address(process string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.known[process]
+	if r == nil {
+		return "", false
+	}
+	return r.Address, true
+}
+
+// Sample returns up to sampleSize members that are not silent for a message.
+// Samples go round, so that in time every member is sent.
+func (t *Table) Sample(now time.Time) []Member {
+	live := t.Live(now)
+	if len(live) <= sampleSize {
+		return live
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sample := make([]Member, sampleSize)
+	for i := range sample {
+		sample[i] = live[(t.next+i)%len(live)]
+	}
+	t.next = (t.next + sampleSize) % len(live)
+	return sample
+}
+
+// Targets returns up to count live members at random, at least one of them in
+// another zone where there is one.
+func (t *Table) Targets(now time.Time, count int) []Member {
+	live := t.Live(now)
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	far := slices.IndexFunc(live, func(m Member) bool { return m.Zone != t.self.Zone })
+	if far > 0 {
+		live[0], live[far] = live[far], live[0]
+	}
+	return live[:min(count, len(live))]
+}
--- /dev/null
+++ b/internal/entry/flow/flow.go
@@ -0,0 +1,313 @@
+package flow
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/coord/retry"
+	"jacinthladder.dev/internal/entry/accept"
+	"jacinthladder.dev/internal/entry/call"
+	"jacinthladder.dev/internal/entry/claims"
+	"jacinthladder.dev/internal/entry/hold"
+	"jacinthladder.dev/internal/entry/meter"
+	"jacinthladder.dev/internal/entry/price"
+	"jacinthladder.dev/internal/entry/relay"
+	"jacinthladder.dev/internal/entry/send"
+	"jacinthladder.dev/internal/entry/settle"
+	"jacinthladder.dev/internal/route/choose"
+)
+
+// cancelTime bounds the cancelling of a stream.
+const cancelTime = 5 * time.Second
+
+// Flow is the stages of one instance, in order.
+type Flow struct {
+	Gate   *accept.Gate
+	Claims *claims.Table
+	Desk   *hold.Desk
+	Board  *choose.Board
+	Sender *send.Sender
+	Engine *relay.Engine
+	Clerk  *settle.Clerk
+	Meter  *meter.Meter
+	Logger log.Interface
+
+	// Allow admits a call within the limits of its account. It returns the
+	// function that ends the call, or a refusal. Nil admits all.
+	Allow func(c *call.Call) (release func(), err error)
+	// Claim makes the claim of a keyed call that must not run twice durable.
+	Claim func(ctx context.Context, c *call.Call) error
+
+	budgets retry.Pool // retries by service
+	work    sync.WaitGroup
+}
+
+// Chat takes a chat completions request through the stages.
+func (f *Flow) Chat(w http.ResponseWriter, r *http.Request) {
+	c, err := f.Gate.Chat(w, r)
+	if err != nil {
+		f.Refuse(w, err)
+		return
+	}
+	w.Header().Set(call.RequestHeader, c.ID())
+	out := newReply(w, c, f.Meter)
+	if c.Key() != "" {
+		err = f.keyed(r.Context(), c, out.sink())
+	} else {
+		err = f.chat(r.Context(), c, out.sink())
+	}
+	f.end(w, c, out, err)
+}
+
+// Plain takes a call of a plain service through the stages.
+func (f *Flow) Plain(w http.ResponseWriter, r *http.Request) {
+	c, err := f.Gate.Plain(w, r)
+	if err != nil {
+		f.Refuse(w, err)
+		return
+	}
+	w.Header().Set(call.RequestHeader, c.ID())
+	out := newPlainReply(w)
+	if c.Key() != "" {
+		err = f.keyed(r.Context(), c, out.sink())
+	} else {
+		// A call that left can't be taken back: it runs to its end even if
+		// the caller goes.
+		err = f.plain(context.WithoutCancel(r.Context()), c, out.sink())
+	}
+	f.end(w, c, out, err)
+}
+
+// Wait returns when no attempt is under way.
+func (f *Flow) Wait() { f.work.Wait() }
+
+// keyed runs the one attempt for a key, apart from the caller that began it,
+// and lets this caller follow the answer.
+func (f *Flow) keyed(ctx context.Context, c *call.Call, sink relay.Sink) error {
+	e, first, err := f.Claims.Begin(c)
+	if err != nil {
+		return err
+	}
+	if first {
+		f.work.Go(func() { f.attempt(context.WithoutCancel(ctx), c, e) })
+	}
+	return e.Answer().Follow(ctx, sink)
+}
+
+func (f *Flow) attempt(ctx context.Context, c *call.Call, e *claims.Entry) {
+	err := f.claimed(ctx, c, e.Answer().Sink())
+	ran := err == nil
+	if r := (*call.Refusal)(nil); errors.As(err, &r) {
+		ran = r.Outcome() != call.NotRun
+	}
+	f.Claims.End(e, err, ran, c.Service().KeepTime())
+}
+
+func (f *Flow) claimed(ctx context.Context, c *call.Call, sink relay.Sink) error {
+	if c.Chat().Model != "" {
+		return f.chat(ctx, c, sink)
+	}
+	if !c.Repeatable() && f.Claim != nil {
+		if err := f.Claim(ctx, c); err != nil {
+			return err
+		}
+	}
+	return f.plain(ctx, c, sink)
+}
+
+// reserve prices a call, admits it within its limits and sets its bound aside.
+func (f *Flow) reserve(ctx context.Context, c *call.Call) (escrow.Hold, func(), error) {
+	bound, err := price.Bound(c)
+	if err != nil {
+		return escrow.Hold{}, nil, err
+	}
+	release := func() {}
+	if f.Allow != nil {
+		if release, err = f.Allow(c); err != nil {
+			return escrow.Hold{}, nil, err
+		}
+	}
+	h, err := f.Desk.Take(ctx, c, bound)
+	if err != nil {
+		release()
+		return escrow.Hold{}, nil, err
+	}
+	return h, release, nil
+}
+
+// chat runs a model call and settles it.
+func (f *Flow) chat(ctx context.Context, c *call.Call, sink relay.Sink) error {
+	h, release, err := f.reserve(ctx, c)
+	if err != nil {
+		return err
+	}
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
+	defer cancel()
+	var cursor relay.Cursor
+	usage, err := f.runs(ctx, c, &cursor, sink)
+	if err != nil && !errors.Is(err, relay.ErrGone) {
+		// An answer that the fleet could not give whole is not billed.
+		h.Settle(0)
+		return err
+	}
+	f.settle(c, h, usage)
+	return err
+}
+
+func (f *Flow) settle(c *call.Call, h escrow.Hold, u price.Usage) {
+	cost := f.Clerk.Settle(c, h, u)
+	f.Meter.Spent(c.Service().Name(), cost)
+	f.Logger.Infof("settle: request %s cost %d of %d", c.ID(), cost, h.Amount())
+}
+
+// runs tries endpoint after endpoint until one gives the whole answer.
+func (f *Flow) runs(ctx context.Context, c *call.Call, cursor *relay.Cursor, sink relay.Sink) (price.Usage, error) {
+	attempts := f.budgets.Begin(c.Service().Name(), c.Service().RetryRatio(), c.Service().Tries())
+	var tried []string
+	for {
+		p, err := f.Board.Pick(ctx, c, tried)
+		if err != nil {
+			return price.Usage{Output: int64(cursor.Delivered())}, f.partial(cursor, err)
+		}
+		usage, err := f.Engine.Run(ctx, p.URL(), c, cursor, sink)
+		p.Done(resultOf(ctx, err))
+		if err == nil {
+			return usage, nil
+		}
+		if !retryable(err) || ctx.Err() != nil {
+			return f.abandon(p, c, cursor), f.failure(ctx, cursor, err)
+		}
+		f.Logger.Infof("choose: request %s failed at %s: %s", c.ID(), p.Name(), err)
+		tried = append(tried, p.Name())
+		if !attempts.Again(ctx, errors.Is(err, send.ErrNotTaken) || errors.Is(err, send.ErrLeaving)) {
+			return f.abandon(p, c, cursor), f.failure(ctx, cursor, err)
+		}
+	}
+}
+
+// abandon cancels a run that nobody wants and returns what it used.
+func (f *Flow) abandon(p *choose.Pick, c *call.Call, cursor *relay.Cursor) price.Usage {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
+	defer cancel()
+	usage, err := f.Sender.Cancel(ctx, p.URL(), c.ID())
+	if err != nil {
+		// The engine can't say. What was delivered is known to have been made.
+		return price.Usage{Output: int64(cursor.Delivered())}
+	}
+	return usage
+}
+
+// failure turns the error that ended a run into a refusal.
+func (f *Flow) failure(ctx context.Context, cursor *relay.Cursor, err error) error {
+	switch {
+	case errors.Is(err, relay.ErrGone), errors.Is(ctx.Err(), context.Canceled):
+		return relay.ErrGone
+	case errors.Is(err, send.ErrRejected):
+		return call.Refuse(call.BadRequest, "the engine rejected the request")
+	case errors.Is(err, send.ErrNotTaken), errors.Is(err, send.ErrLeaving):
+		return f.partial(cursor, call.Refuse(call.NoCapacity, "no endpoint took the request").After(time.Second))
+	default:
+		return call.Lost(call.NoAnswer, "no endpoint gave the whole answer")
+	}
+}
+
+// partial returns a refusal as one that may have run if any of the answer has
+// been delivered.
+func (f *Flow) partial(cursor *relay.Cursor, err error) error {
+	if cursor.Delivered() == 0 {
+		return err
+	}
+	return call.Lost(call.NoAnswer, "the answer broke off")
+}
+
+func retryable(err error) bool {
+	return errors.IsAny(err, relay.ErrLost, send.ErrNotTaken, send.ErrLeaving)
+}
+
+func resultOf(ctx context.Context, err error) choose.Result {
+	switch {
+	case err == nil:
+		return choose.Done
+	case errors.Is(err, send.ErrLeaving):
+		return choose.Left
+	case errors.IsAny(err, relay.ErrLost, send.ErrNotTaken) && ctx.Err() == nil:
+		return choose.Failed
+	default:
+		return choose.Dropped
+	}
+}
+
+// plain runs a call of a plain service and settles it.
+func (f *Flow) plain(ctx context.Context, c *call.Call, sink relay.Sink) error {
+	h, release, err := f.reserve(ctx, c)
+	if err != nil {
+		return err
+	}
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
+	defer cancel()
+	answer, err := f.calls(ctx, c)
+	if r := (*call.Refusal)(nil); errors.As(err, &r) && r.Outcome() == call.NotRun {
+		h.Settle(0)
+		return err
+	}
+	f.settle(c, h, price.Usage{})
+	if err != nil {
+		return err
+	}
+	return sink.End(encodeAnswer(answer), price.Usage{})
+}
+
+// calls tries endpoint after endpoint. A call that must not run twice goes on
+// to the next only if the last provably did not take it.
+func (f *Flow) calls(ctx context.Context, c *call.Call) (send.Answer, error) {
+	attempts := f.budgets.Begin(c.Service().Name(), c.Service().RetryRatio(), c.Service().Tries())
+	var tried []string
+	ran := false
+	for {
+		p, err := f.Board.Pick(ctx, c, tried)
+		if err != nil {
+			return send.Answer{}, mayHaveRun(ran, err)
+		}
+		answer, err := f.Sender.Call(ctx, p.URL(), c)
+		p.Done(plainResult(err))
+		if err == nil {
+			return answer, nil
+		}
+		f.Logger.Infof("choose: request %s failed at %s: %s", c.ID(), p.Name(), err)
+		tried = append(tried, p.Name())
+		untaken := errors.IsAny(err, send.ErrNotTaken, send.ErrLeaving)
+		ran = ran || !untaken
+		if ran && !c.Repeatable() {
+			return send.Answer{}, call.Lost(call.NoAnswer, "the call left and no answer came")
+		}
+		if ctx.Err() != nil || !attempts.Again(ctx, untaken) {
+			return send.Answer{}, mayHaveRun(ran, call.Refuse(call.NoCapacity, "no endpoint took the call").After(time.Second))
+		}
+	}
+}
+
+func mayHaveRun(ran bool, err error) error {
+	if ran {
+		return call.Lost(call.NoAnswer, "the call left and no answer came")
+	}
+	return err
+}
+
+func plainResult(err error) choose.Result {
+	switch {
+	case err == nil:
+		return choose.Done
+	case errors.Is(err, send.ErrLeaving):
+		return choose.Left
+	default:
+		return choose.Failed
+	}
+}
--- /dev/null
+++ b/internal/fleet/books/books.go
@@ -0,0 +1,75 @@
+package books
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/internal/fleet/config"
+	"jacinthladder.dev/internal/plat/object"
+)
+
+// Platform returns the platform as an escrow holder sees it.
+func Platform(store *object.Store) escrow.Platform {
+	return escrow.Platform{
+		Read: func(ctx context.Context, budget string) (*escrow.Book, int64, error) {
+			return Read(ctx, store, budget)
+		},
+		Write: func(ctx context.Context, budget string, version int64, b *escrow.Book) error {
+			return Write(ctx, store, budget, version, b)
+		},
+	}
+}
+
+// Read returns a budget and its version. It fails with escrow.ErrMissing, or
+// with an error of package object.
+func Read(ctx context.Context, store *object.Store, budget string) (*escrow.Book, int64, error) {
+	o, err := store.Get(ctx, config.BudgetKind, budget)
+	if errors.Is(err, object.ErrMissing) {
+		return nil, 0, errors.Mark(err, escrow.ErrMissing)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	b := &escrow.Book{}
+	if err := json.Unmarshal(o.Value(), b); err != nil {
+		return nil, 0, errors.Wrapf(err, "budget %s", budget)
+	}
+	return b, o.Version(), nil
+}
+
+// Write replaces a budget whose version is unchanged, 0 for a new one. It
+// fails with escrow.ErrConflict, or with an error of package object.
+func Write(ctx context.Context, store *object.Store, budget string, version int64, b *escrow.Book) error {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return errors.Wrapf(err, "budget %s", budget)
+	}
+	if _, err := store.Put(ctx, config.BudgetKind, budget, version, data); err != nil {
+		if errors.Is(err, object.ErrConflict) {
+			return errors.Mark(err, escrow.ErrConflict)
+		}
+		return err
+	}
+	return nil
+}
+
+// TopUp pays amount into a budget, once for each top-up ID, however often it
+// is tried. It returns the budget after it.
+func TopUp(ctx context.Context, store *object.Store, budget, id string, amount int64) (*escrow.Book, error) {
+	for {
+		b, version, err := Read(ctx, store, budget)
+		if err != nil {
+			return nil, err
+		}
+		if err := b.TopUp(id, amount); err != nil {
+			return nil, err
+		}
+		err = Write(ctx, store, budget, version, b)
+		if !errors.Is(err, escrow.ErrConflict) {
+			return b, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/books/doc.go
@@ -0,0 +1,3 @@
+// Package books keeps budgets on the platform, as the escrow package wants
+// them.
+package books
--- /dev/null
+++ b/internal/fleet/build/wire.go
@@ -0,0 +1,18 @@
+//go:build wireinject
+
+package build
+
+import (
+	"github.com/apex/log"
+	"github.com/google/wire"
+
+	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/node"
+)
+
+// Node returns an instance that listens at the addresses of its settings and
+// does not serve yet.
+func Node(s *setup.Settings, logger log.Interface) (*node.Node, error) {
+	wire.Build(node.Set)
+	return nil, nil
+}
--- /dev/null
+++ b/internal/fleet/peers/server.go
@@ -0,0 +1,144 @@
+package peers
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/coord/member"
+	"jacinthladder.dev/internal/fleet/config"
+	"jacinthladder.dev/internal/fleet/peers/wire"
+)
+
+// maxDocs bounds the configuration in one answer, in bytes.
+const maxDocs = 8 << 20
+
+// Server answers what peers ask of this instance.
+type Server struct {
+	Table  *member.Table
+	Holder *escrow.Holder
+	Keeper *config.Keeper
+	// News takes in a heartbeat's news of endpoints and limits; Own returns the
+	// heartbeat that this instance sends.
+	News func(n *wire.BeatNote)
+	Own  func() *wire.BeatNote
+	// Register registers an attempt, and returns the first one for its key.
+	Register func(n *wire.ClaimNote) *wire.ClaimNote
+
+	behind func(address string) // told of a peer with more configuration
+}
+
+// Handler returns the HTTP surface for peers.
+func (s *Server) Handler() http.Handler { return wire.NewPeersServer(s) }
+
+// Beat exchanges heartbeats.
+func (s *Server) Beat(_ context.Context, n *wire.BeatNote) (*wire.BeatNote, error) {
+	s.Take(n)
+	if s.behind != nil && n.GetConfig() > s.Keeper.Complete() {
+		s.behind(n.GetSelf().GetAddress())
+	}
+	return s.Own(), nil
+}
+
+// Take takes in a heartbeat.
+func (s *Server) Take(n *wire.BeatNote) {
+	now := time.Now()
+	if n.GetSelf() != nil {
+		s.Table.Merge(now, memberOf(n.GetSelf()))
+	}
+	for _, m := range n.GetMembers() {
+		s.Table.Merge(now, memberOf(m))
+	}
+	if s.News != nil {
+		s.News(n)
+	}
+}
+
+// Docs returns the configuration that a peer lacks.
+func (s *Server) Docs(_ context.Context, n *wire.DocsAsk) (*wire.DocsAnswer, error) {
+	objects, complete := s.Keeper.Since(n.GetAfter())
+	answer := &wire.DocsAnswer{Complete: complete}
+	size := 0
+	for _, o := range objects {
+		size += len(o.Value())
+		if size > maxDocs {
+			// The peer asks again from the last version that it got.
+			answer.Complete = answer.Docs[len(answer.Docs)-1].Version
+			break
+		}
+		answer.Docs = append(answer.Docs, &wire.DocNote{Kind: o.Kind(), Name: o.Name(), Version: o.Version(), Value: o.Value()})
+	}
+	return answer, nil
+}
+
+// Ask gives a peer a part of a share.
+func (s *Server) Ask(_ context.Context, n *wire.PleaNote) (*wire.ReplyNote, error) {
+	if n.GetNeed() < 0 || n.GetWant() < 0 {
+		return nil, twirp.InvalidArgumentError("need", "negative amount")
+	}
+	r := s.Holder.TakePlea(escrow.Plea{Budget: n.GetBudget(), From: n.GetFrom(), Need: n.GetNeed(), Want: n.GetWant()})
+	return &wire.ReplyNote{Gift: noteOf(r.Gift), Room: r.Room, Opened: r.Opened}, nil
+}
+
+// Give credits a gift.
+func (s *Server) Give(_ context.Context, n *wire.GiftNote) (*wire.ReceiptNote, error) {
+	r, err := s.Holder.TakeGift(giftOf(n))
+	if err != nil {
+		return nil, twirp.NotFoundError(err.Error())
+	}
+	return &wire.ReceiptNote{Credited: r.Credited, Final: r.Final}, nil
+}
+
+// Raise records marks.
+func (s *Server) Raise(_ context.Context, n *wire.RaiseNote) (*wire.RaiseAnswer, error) {
+	if err := s.meant(n.GetWitness()); err != nil {
+		return nil, err
+	}
+	answer := &wire.RaiseAnswer{}
+	for _, m := range n.GetMarks() {
+		if err := s.Holder.Witness().Raise(m.GetShare(), m.GetLimit()); err != nil {
+			answer.Sealed = append(answer.Sealed, m.GetShare())
+		}
+	}
+	return answer, nil
+}
+
+// Seal seals a share.
+func (s *Server) Seal(_ context.Context, n *wire.SealNote) (*wire.SealAnswer, error) {
+	if err := s.meant(n.GetWitness()); err != nil {
+		return nil, err
+	}
+	limit, err := s.Holder.Witness().Seal(n.GetShare())
+	if err != nil {
+		return nil, twirp.NotFoundError(err.Error())
+	}
+	return &wire.SealAnswer{Limit: limit}, nil
+}
+
+// Claim registers an attempt with its owner.
+func (s *Server) Claim(_ context.Context, n *wire.ClaimNote) (*wire.ClaimAnswer, error) {
+	if s.Register == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "no claims here")
+	}
+	return &wire.ClaimAnswer{First: s.Register(n)}, nil
+}
+
+// meant refuses a call for another process that had this address before.
+func (s *Server) meant(process string) error {
+	if process != s.Holder.Process() {
+		return twirp.NotFoundError(errors.Wrap(ErrStranger, process).Error())
+	}
+	return nil
+}
+
+func memberOf(n *wire.MemberNote) member.Member {
+	return member.Member{Process: n.GetProcess(), Zone: n.GetZone(), Address: n.GetAddress(), Count: n.GetCount(), Leaving: n.GetLeaving()}
+}
+
+func memberNote(m member.Member) *wire.MemberNote {
+	return &wire.MemberNote{Process: m.Process, Zone: m.Zone, Address: m.Address, Count: m.Count, Leaving: m.Leaving}
+}
--- /dev/null
+++ b/internal/plat/object/object.go
@@ -0,0 +1,95 @@
+package object
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrMissing means that there is no such object.
+	ErrMissing = errors.New("object: no such object")
+	// ErrConflict means that the object has another version; nothing was written.
+	ErrConflict = errors.New("object: version conflict")
+	// ErrRefused means that the platform took no action: it is down, or its
+	// rate limit is reached. Nothing was written.
+	ErrRefused = errors.New("object: refused by the platform")
+	// ErrUnknown means that no answer came: a write may have taken effect.
+	ErrUnknown = errors.New("object: no answer from the platform")
+)
+
+// Object is one stored value.
+type Object struct {
+	kind    string
+	name    string
+	value   []byte
+	version int64
+}
+
+// New returns an object as a platform would hold it.
+func New(kind, name string, version int64, value []byte) Object {
+	return Object{kind: kind, name: name, version: version, value: value}
+}
+
+// Kind returns the object's kind.
+func (o Object) Kind() string { return o.kind }
+
+// Name returns the name, unique within the kind.
+func (o Object) Name() string { return o.name }
+
+// Version returns the version, which rises with every write.
+func (o Object) Version() int64 { return o.version }
+
+// Value returns the stored bytes. The caller must not change them.
+func (o Object) Value() []byte { return o.value }
+
+// Page is a list of objects and the version up to which it is complete.
+type Page struct {
+	objects []Object
+	version int64
+}
+
+// NewPage returns a page that is complete up to version.
+func NewPage(objects []Object, version int64) Page {
+	return Page{objects: objects, version: version}
+}
+
+// Objects returns the objects of the page.
+func (p Page) Objects() []Object { return p.objects }
+
+// Version returns the version to watch on from.
+func (p Page) Version() int64 { return p.version }
+
+// Store is a platform as a set of functions. Every function may also fail with
+// ErrRefused or ErrUnknown.
+type Store struct {
+	// Get returns one object, or ErrMissing.
+	Get func(ctx context.Context, kind, name string) (Object, error)
+	// Put writes an object if its version still is version, 0 for an object
+	// that must not exist, and returns the new version or ErrConflict.
+	Put func(ctx context.Context, kind, name string, version int64, value []byte) (int64, error)
+	// Watch waits up to wait for objects of a kind with a version above after.
+	// A wait of 0 lists at once.
+	Watch func(ctx context.Context, kind string, after int64, wait time.Duration) (Page, error)
+}
+
+// Update reads an object, lets edit change its value, and writes it, again
+// after each conflict. A missing object is given to edit as nil. An error of
+// edit ends the update. After ErrUnknown the caller must read again.
+func (s *Store) Update(ctx context.Context, kind, name string, edit func(old []byte) ([]byte, error)) (int64, error) {
+	for {
+		old, err := s.Get(ctx, kind, name)
+		if err != nil && !errors.Is(err, ErrMissing) {
+			return 0, err
+		}
+		value, err := edit(old.value)
+		if err != nil {
+			return 0, err
+		}
+		version, err := s.Put(ctx, kind, name, old.version, value)
+		if !errors.Is(err, ErrConflict) {
+			return version, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/choose/endpoint.go
@@ -0,0 +1,85 @@
+package choose
+
+import (
+	"time"
+
+	"jacinthladder.dev/internal/conf/spec"
+)
+
+const (
+	// failLimit is how many failures in a row eject an endpoint.
+	failLimit = 3
+	// minEject and maxEject bound an ejection; it doubles from one to the other.
+	minEject = time.Second
+	maxEject = 30 * time.Second
+	// LeaveTime is how long word that an endpoint leaves is believed.
+	LeaveTime = time.Minute
+	// reportLife is the age at which a load report counts for nothing.
+	reportLife = 2 * time.Second
+	// smooth is the weight of a new measurement in a moving average.
+	smooth = 0.1
+)
+
+// endpoint is what the board knows of one back end.
+type endpoint struct {
+	spec.Endpoint
+	open     int // by this instance
+	fails    int
+	ejects   int
+	until    time.Time // ejected until
+	trial    bool      // a half-open request is under way
+	leaving  time.Time // leaving, as far as known, until
+	others   int       // open by other instances when last reported
+	reported time.Time
+	busy     time.Duration // moving average of a request's time
+}
+
+// load estimates the open requests of the whole fleet.
+func (e *endpoint) load(now time.Time) float64 {
+	age := now.Sub(e.reported)
+	if age >= reportLife {
+		return float64(e.open)
+	}
+	return float64(e.open) + float64(e.others)*(1-float64(age)/float64(reportLife))
+}
+
+// ratio is the load for each slot.
+func (e *endpoint) ratio(now time.Time) float64 { return e.load(now) / float64(e.Slots()) }
+
+// wait predicts how long a new request would queue.
+func (e *endpoint) wait(now time.Time) time.Duration {
+	ahead := e.load(now) + 1 - float64(e.Slots())
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(e.Slots()) * float64(e.busy))
+}
+
+// usable reports whether the endpoint may get a request. An ejection that is
+// over lets one request through at a time until one succeeds.
+func (e *endpoint) usable(now time.Time) bool {
+	if now.Before(e.leaving) || now.Before(e.until) {
+		return false
+	}
+	return e.ejects == 0 || !e.trial
+}
+
+func (e *endpoint) succeed(took time.Duration) {
+	e.fails, e.ejects = 0, 0
+	if e.busy == 0 {
+		e.busy = took
+	}
+	e.busy += time.Duration(smooth * float64(took-e.busy))
+}
+
+// fail counts a failure and reports whether it ejected the endpoint.
+func (e *endpoint) fail(now time.Time) bool {
+	e.fails++
+	if e.fails < failLimit && e.ejects == 0 {
+		return false
+	}
+	e.until = now.Add(min(minEject<<min(e.ejects, 10), maxEject))
+	e.ejects++
+	e.fails = 0
+	return true
+}
--- /dev/null
+++ b/internal/stand/engine/http.go
@@ -0,0 +1,168 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// maxBody bounds a request in bytes.
+const maxBody = 64 << 20
+
+// Handler returns the engine's HTTP surface.
+func (e *Engine) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/chat/completions", e.serveStart)
+	m.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	m.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	m.HandleFunc("GET /v1/load", e.serveLoad)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		crashed, leaving := e.crashed, e.leaving
+		e.mu.Unlock()
+		if crashed {
+			panic(http.ErrAbortHandler)
+		}
+		if leaving {
+			w.Header().Set(LeavingHeader, "true")
+		}
+		m.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) serveStart(w http.ResponseWriter, r *http.Request) {
+	var q Request
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get(StreamHeader)
+	rank, err := strconv.Atoi(r.Header.Get(RankHeader))
+	if id == "" || err != nil {
+		http.Error(w, "stream id or rank missing", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	refused := e.leaving || e.crashed
+	_, known := e.runs[id]
+	n := newRun(id, rank, q)
+	if !refused && !known {
+		e.runs[id] = n
+	}
+	e.mu.Unlock()
+	switch {
+	case refused:
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case known:
+		http.Error(w, "stream id is taken", http.StatusConflict)
+	default:
+		e.start(n, q)
+		e.stream(w, r, n, 0)
+	}
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		http.Error(w, "offset: want a count of tokens", http.StatusBadRequest)
+		return
+	}
+	n := e.find(r.PathValue("id"))
+	if n == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	e.stream(w, r, n, offset)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	n := e.find(r.PathValue("id"))
+	if n == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, n.stop())
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Load())
+}
+
+func (e *Engine) find(id string) *run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+// stream writes a run's tokens from offset on as server-sent events. The event
+// id is the offset of the piece.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, n *run, offset int) {
+	e.mu.Lock()
+	epoch, down := e.epoch, e.down
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	created := time.Now().Unix()
+	for {
+		made, usage, ended, next := n.look()
+		select {
+		case <-epoch:
+			<-r.Context().Done()
+			return
+		case <-down:
+			panic(http.ErrAbortHandler)
+		default:
+		}
+		for ; offset < made; offset++ {
+			writeEvent(w, offset, n.chunk(created, delta{Content: n.tokens[offset]}, nil, nil))
+		}
+		if ended {
+			if !n.whole() {
+				panic(http.ErrAbortHandler)
+			}
+			stop := "stop"
+			writeEvent(w, offset, n.chunk(created, delta{}, &stop, &usage))
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			return
+		}
+		if err := flusher.Flush(); err != nil {
+			return
+		}
+		select {
+		case <-next:
+		case <-epoch:
+		case <-down:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (r *run) chunk(created int64, d delta, finish *string, usage *Usage) chunk {
+	return chunk{
+		ID:      r.id,
+		Object:  "chat.completion.chunk",
+		Created: created,
+		Model:   r.model,
+		Choices: []choice{{Delta: d, Finish: finish}},
+		Usage:   usage,
+	}
+}
+
+func writeEvent(w http.ResponseWriter, offset int, c chunk) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, data)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/stand/store/http.go
@@ -0,0 +1,134 @@
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/plat/object"
+	"jacinthladder.dev/internal/plat/roster"
+)
+
+// ZoneHeader tells the stand-in which availability zone a caller is in.
+const ZoneHeader = "Jacinthladder-Zone"
+
+// maxWait bounds a waiting watch.
+const maxWait = 30 * time.Second
+
+// Handler returns the platform's HTTP surface.
+func (p *Platform) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/objects/{kind}/{name}", p.serveGet)
+	m.HandleFunc("PUT /v1/objects/{kind}/{name}", p.servePut)
+	m.HandleFunc("GET /v1/objects/{kind}", p.serveWatch)
+	m.HandleFunc("GET /v1/instances", p.serveInstances)
+	m.HandleFunc("PUT /v1/instances/{name}", p.serveEnlist)
+	m.HandleFunc("DELETE /v1/instances/{name}", p.serveDelist)
+	m.HandleFunc("PUT /v1/faults", p.serveFaults)
+	m.HandleFunc("GET /v1/counts", p.serveCounts)
+	return m
+}
+
+func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
+	o, err := p.Store(r.Header.Get(ZoneHeader)).Get(r.Context(), r.PathValue("kind"), r.PathValue("name"))
+	reply(w, item(o), err)
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
+	var i object.Item
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*MaxValue)).Decode(&i); err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	kind, name := r.PathValue("kind"), r.PathValue("name")
+	version, err := p.Store(r.Header.Get(ZoneHeader)).Put(r.Context(), kind, name, i.Version, i.Value)
+	reply(w, object.Item{Kind: kind, Name: name, Version: version}, err)
+}
+
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: want a number", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "wait: want a duration", http.StatusBadRequest)
+		return
+	}
+	page, err := p.Store(r.Header.Get(ZoneHeader)).Watch(r.Context(), r.PathValue("kind"), after, min(wait, maxWait))
+	l := object.List{Items: make([]object.Item, 0, len(page.Objects())), Version: page.Version()}
+	for _, o := range page.Objects() {
+		l.Items = append(l.Items, item(o))
+	}
+	reply(w, l, err)
+}
+
+func (p *Platform) serveInstances(w http.ResponseWriter, r *http.Request) {
+	if err := p.enter(r.Context(), r.Header.Get(ZoneHeader), p.reads); err != nil {
+		reply[any](w, nil, err)
+		return
+	}
+	entries := p.Instances()
+	if entries == nil {
+		entries = []roster.Entry{}
+	}
+	reply(w, entries, nil)
+}
+
+func (p *Platform) serveEnlist(w http.ResponseWriter, r *http.Request) {
+	var e roster.Entry
+	if err := json.NewDecoder(r.Body).Decode(&e); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.Name = r.PathValue("name")
+	p.Enlist(e)
+	reply(w, e, nil)
+}
+
+func (p *Platform) serveDelist(w http.ResponseWriter, r *http.Request) {
+	p.Delist(r.PathValue("name"))
+	reply(w, struct{}{}, nil)
+}
+
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.Set(f)
+	reply(w, f, nil)
+}
+
+func (p *Platform) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	reply(w, p.Counts(), nil)
+}
+
+func item(o object.Object) object.Item {
+	return object.Item{Kind: o.Kind(), Name: o.Name(), Version: o.Version(), Value: o.Value()}
+}
+
+// reply writes an answer, or the status that stands for an error. A lost
+// answer closes the connection without a word.
+func reply[T any](w http.ResponseWriter, answer T, err error) {
+	switch {
+	case err == nil:
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(answer); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	case errors.Is(err, object.ErrMissing):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, object.ErrConflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, object.ErrRefused):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/tools/admin/budget.go
@@ -0,0 +1,147 @@
+package admin
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/internal/conf/spec"
+	"jacinthladder.dev/internal/fleet/books"
+	"jacinthladder.dev/internal/fleet/config"
+	"jacinthladder.dev/internal/plat/object"
+)
+
+// CreateAccount makes a client account with one bearer key.
+func (a *Admin) CreateAccount(ctx context.Context, name, key string) (int64, error) {
+	if !spec.ValidName(name) {
+		return 0, errors.Newf("%q is not a name", name)
+	}
+	if len(key) < minKey {
+		return 0, errors.Newf("the key is shorter than %d bytes", minKey)
+	}
+	value, err := json.Marshal(config.Account{Name: name, Keys: []string{config.HashKey(key)}})
+	if err != nil {
+		return 0, errors.Wrap(err, "account")
+	}
+	return a.write(ctx, config.AccountKind, name, 0, value)
+}
+
+// minKey is the least length of a bearer key in bytes.
+const minKey = 16
+
+// NewKey returns a fresh bearer key.
+func NewKey() string {
+	var b [24]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // the system's random source does not fail
+	}
+	return "jl-" + hex.EncodeToString(b[:])
+}
+
+// Account returns a client account and its version.
+func (a *Admin) Account(ctx context.Context, name string) (config.Account, int64, error) {
+	o, err := a.read(ctx, config.AccountKind, name)
+	if err != nil {
+		return config.Account{}, 0, err
+	}
+	var account config.Account
+	if err := json.Unmarshal(o.Value(), &account); err != nil {
+		return config.Account{}, 0, errors.Wrapf(err, "account %s", name)
+	}
+	return account, o.Version(), nil
+}
+
+// AddKey gives an account one more bearer key.
+func (a *Admin) AddKey(ctx context.Context, name, key string) (int64, error) {
+	if len(key) < minKey {
+		return 0, errors.Newf("the key is shorter than %d bytes", minKey)
+	}
+	account, version, err := a.Account(ctx, name)
+	if err != nil {
+		return 0, err
+	}
+	account.Keys = append(account.Keys, config.HashKey(key))
+	value, err := json.Marshal(account)
+	if err != nil {
+		return 0, errors.Wrap(err, "account")
+	}
+	return a.write(ctx, config.AccountKind, name, version, value)
+}
+
+// CreateBudget makes an empty budget of a client account.
+func (a *Admin) CreateBudget(ctx context.Context, name, account string) error {
+	if !spec.ValidName(name) {
+		return errors.Newf("%q is not a name", name)
+	}
+	if _, err := a.read(ctx, config.AccountKind, account); err != nil {
+		return err
+	}
+	value, err := json.Marshal(escrow.NewBook(account))
+	if err != nil {
+		return errors.Wrap(err, "budget")
+	}
+	_, err = a.write(ctx, config.BudgetKind, name, 0, value)
+	return err
+}
+
+// TopUp pays micro-units into a budget, once for each top-up ID however often
+// it is tried.
+func (a *Admin) TopUp(ctx context.Context, name, id string, amount int64) (*escrow.Book, error) {
+	b, err := books.TopUp(ctx, a.Store, name, id, amount)
+	if errors.Is(err, object.ErrUnknown) {
+		// Pay again under the same ID: it counts once.
+		b, err = books.TopUp(ctx, a.Store, name, id, amount)
+	}
+	return b, missing(err, "budget", name)
+}
+
+// Budget returns a budget.
+func (a *Admin) Budget(ctx context.Context, name string) (*escrow.Book, error) {
+	b, _, err := books.Read(ctx, a.Store, name)
+	return b, missing(err, "budget", name)
+}
+
+// Explain tells where every micro-unit of a budget is, as far as its holders
+// have reported.
+func Explain(name string, b *escrow.Book) string {
+	var text strings.Builder
+	var used, idle, bound int64
+	for _, id := range b.Holders() {
+		r := b.Row(id)
+		used += r.Used()
+		if r.State() == escrow.Sealed {
+			bound += r.Bound() - r.Used()
+			continue
+		}
+		idle += r.Idle()
+	}
+	fmt.Fprint(&text, lines(
+		fmt.Sprintf("budget %s of account %s, in micro-units", name, b.Account()),
+		fmt.Sprintf("  paid      %d", b.Paid()),
+		fmt.Sprintf("  spent     %d  (%d by closed shares, %d reported by open ones)", b.Spent()+used, b.Spent(), used),
+		fmt.Sprintf("  held      %d  (by open shares, spent since their last report or still to spend)", idle),
+		fmt.Sprintf("  stranded  %d  (sealed shares may have spent it; released when their holder is heard from)", bound),
+		fmt.Sprintf("  free      %d", b.Free()),
+	))
+	if len(b.Holders()) == 0 {
+		return text.String()
+	}
+	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "  share\tstate\tgranted\treturned\tsent\treceived\tused\tidle\twrites\t")
+	for _, id := range b.Holders() {
+		r := b.Row(id)
+		fmt.Fprintf(table, "  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+			id, r.State(), r.Granted(), r.Returned(), r.Sent(), r.Received(), r.Used(), r.Idle(), r.Seq())
+	}
+	if err := table.Flush(); err != nil {
+		return text.String() // a builder takes any text
+	}
+	return text.String()
+}
