escrow: keep a closed row until the open ones have seen it

Ruled out: overspend; the loss was on the safe side.

Each row now has the book's count of writes, and a closed row stays until every open row has been written since.

--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -50,6 +50,7 @@
 	Guards   []string         `json:"guards,omitempty"`
 	Alone    int64            `json:"alone,omitempty"`
 	Bound    int64            `json:"bound,omitempty"`
+	At       int64            `json:"at"` // the book's count of writes at the last one of this row
 }
 
 // Granted returns all that was ever drawn, in micro-units.
@@ -94,6 +95,7 @@
 	account string
 	paid    int64
 	spent   int64
+	writes  int64 // by holders, to tell which row was written after which
 	tops    map[string]int64
 	rows    map[string]*Row
 	changed bool // a row was sealed since the book was read
@@ -103,6 +105,7 @@
 	Account string             `json:"account"`
 	Paid    int64              `json:"paid"`
 	Spent   int64              `json:"spent"`
+	Writes  int64              `json:"writes"`
 	Tops    map[string]int64   `json:"tops"`
 	Rows    map[string]rowText `json:"rows"`
 }
@@ -170,7 +173,7 @@
 
 // MarshalJSON writes the book as the platform keeps it.
 func (b *Book) MarshalJSON() ([]byte, error) {
-	t := bookText{Account: b.account, Paid: b.paid, Spent: b.spent, Tops: b.tops, Rows: map[string]rowText{}}
+	t := bookText{Account: b.account, Paid: b.paid, Spent: b.spent, Writes: b.writes, Tops: b.tops, Rows: map[string]rowText{}}
 	for id, r := range b.rows {
 		t.Rows[id] = r.raw
 	}
@@ -184,7 +187,7 @@
 		return errors.Wrap(err, "escrow: book")
 	}
 	*b = *NewBook(t.Account)
-	b.paid, b.spent = t.Paid, t.Spent
+	b.paid, b.spent, b.writes = t.Paid, t.Spent, t.Writes
 	maps.Copy(b.tops, t.Tops)
 	for id, r := range t.Rows {
 		b.rows[id] = &Row{raw: r}
@@ -241,25 +244,31 @@
 	return won
 }
 
-// fold removes the closed rows whose transfers are credited on both sides.
+// touch notes that a row is written.
+func (b *Book) touch(r *Row) {
+	b.writes++
+	r.raw.At = b.writes
+}
+
+// fold removes the closed rows that no transfer can concern any more: every
+// open row was written since, and so has taken in how far its transfers were
+// credited, and no transfer is under way.
 func (b *Book) fold() {
 	for id, r := range b.rows {
-		if r.raw.State == Closed && b.matched(id, r) {
+		if r.raw.State == Closed && b.settled(id, r) {
 			b.spent += r.outstanding()
 			delete(b.rows, id)
 		}
 	}
 }
 
-func (b *Book) matched(id string, c *Row) bool {
+func (b *Book) settled(id string, c *Row) bool {
 	for other, r := range b.rows {
-		if other == id {
-			continue
-		}
-		if r.raw.Sent[id] != c.raw.Received[other] && r.raw.Sent[id] != 0 {
+		switch {
+		case other == id:
+		case r.raw.State == Open && r.raw.At < c.raw.At:
 			return false
-		}
-		if c.raw.Sent[other] > r.raw.Received[id] {
+		case r.raw.Sent[id] > c.raw.Received[other], c.raw.Sent[other] > r.raw.Received[id]:
 			return false
 		}
 	}
--- a/coord/escrow/gather.go
+++ b/coord/escrow/gather.go
@@ -47,7 +47,7 @@
 	switch {
 	case r.Why == nil:
 		return Hold{}, true, ErrExhausted // someone here was faster
-	case errors.Is(r.Why, ErrExhausted):
+	case is(r.Why, ErrExhausted):
 		if !r.Waits {
 			s.deny(n.Amount, time.Now())
 		}
@@ -66,7 +66,7 @@
 	if !ok {
 		var err error
 		if hold, err = h.insist(ctx, s.budget, s.sync.policy, n); err != nil {
-			if !errors.Is(err, ErrExhausted) {
+			if !is(err, ErrExhausted) {
 				err = ErrCutOff
 			}
 			return Reply{Why: err, Waits: s.waits(p.Need)}
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -147,7 +147,7 @@
 		return false
 	}
 	err := h.refill(ctx, s, 0, now)
-	return err != nil && !errors.IsAny(err, ErrMissing, ErrSealed, ErrConflict)
+	return err != nil && !is(err, ErrMissing, ErrSealed, ErrConflict)
 }
 
 // kick asks Run for a refill, if it is not busy.
--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // retryTime is how often a waiting reservation asks again for more.
@@ -47,11 +45,11 @@
 		if err == nil {
 			return hold, nil
 		}
-		if errors.Is(err, ErrSealed) {
+		if is(err, ErrSealed) {
 			continue
 		}
 		left := time.Until(deadline)
-		if errors.Is(err, ErrMissing) || left <= 0 || !open || ctx.Err() != nil {
+		if is(err, ErrMissing) || left <= 0 || !open || ctx.Err() != nil {
 			return Hold{}, err
 		}
 		turn, cancel := context.WithTimeout(ctx, min(left, retryTime))
@@ -71,7 +69,7 @@
 		return Hold{}, false, ErrExhausted
 	}
 	refused := h.draw(ctx, s, n.Amount, now, time.Until(deadline)/2)
-	if errors.IsAny(refused, ErrMissing, ErrSealed) {
+	if is(refused, ErrMissing, ErrSealed) {
 		return Hold{}, false, refused
 	}
 	if hold, ok := s.Reserve(n.Amount); ok {
@@ -79,7 +77,7 @@
 	}
 	if p := h.gatherer(s.budget); p != h.process && !n.gathered {
 		hold, open, err := h.delegate(ctx, s, p, n, deadline)
-		if !errors.Is(err, errUnreached) {
+		if !is(err, errUnreached) {
 			return hold, open, err
 		}
 	}
@@ -110,7 +108,7 @@
 	switch {
 	case err == nil:
 		return ErrExhausted
-	case errors.IsAny(err, ErrMissing, ErrSealed):
+	case is(err, ErrMissing, ErrSealed):
 		return err
 	default:
 		return ErrCutOff
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // syncTries bounds the conflicts that one synchronisation takes.
@@ -44,7 +42,7 @@
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, ErrConflict) {
+		if !is(err, ErrConflict) {
 			s.mu.Lock()
 			s.sync.failAt = time.Now()
 			s.mu.Unlock()
@@ -161,6 +159,7 @@
 	}
 	c.seq++
 	r.raw.Seq = c.seq
+	b.touch(r)
 	return true
 }
 
--- a/internal/fleet/books/books.go
+++ b/internal/fleet/books/books.go
@@ -28,7 +28,7 @@
 func Read(ctx context.Context, store *object.Store, budget string) (*escrow.Book, int64, error) {
 	o, err := store.Get(ctx, config.BudgetKind, budget)
 	if errors.Is(err, object.ErrMissing) {
-		return nil, 0, errors.Mark(err, escrow.ErrMissing)
+		return nil, 0, errors.Wrap(escrow.ErrMissing, budget)
 	}
 	if err != nil {
 		return nil, 0, err
@@ -49,7 +49,7 @@
 	}
 	if _, err := store.Put(ctx, config.BudgetKind, budget, version, data); err != nil {
 		if errors.Is(err, object.ErrConflict) {
-			return errors.Mark(err, escrow.ErrConflict)
+			return errors.Wrap(escrow.ErrConflict, budget)
 		}
 		return err
 	}
--- a/internal/tools/admin/service.go
+++ b/internal/tools/admin/service.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
 
+	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/internal/conf/spec"
 	"jacinthladder.dev/internal/fleet/books"
 	"jacinthladder.dev/internal/fleet/config"
@@ -55,7 +56,7 @@
 func (a *Admin) fault(ctx context.Context, account, name string) (string, error) {
 	b, _, err := books.Read(ctx, a.Store, name)
 	switch {
-	case errors.Is(err, object.ErrMissing):
+	case errors.Is(err, escrow.ErrMissing):
 		return fmt.Sprintf("there is no budget %q", name), nil
 	case err != nil:
 		return "", err
@@ -151,7 +152,7 @@
 }
 
 func missing(err error, kind, name string) error {
-	if errors.Is(err, object.ErrMissing) {
+	if errors.IsAny(err, object.ErrMissing, escrow.ErrMissing) {
 		return errors.Wrapf(ErrMissing, "%s %s", kind, name)
 	}
 	return err
