flow: bill a keyed call once when its answer is no longer kept

Cause: a test of the document's keep time saw one request ID billed twice. A plain keyed call never told its key's owners that it had ended, so a retry after the answer was dropped took the attempt over and ran it again. Ruled out: the platform's records; the two were filed under different batches.

Plain calls end their attempt as model calls do; a retry whose attempt has ended is refused as answer_gone. An endpoint's own report that it is not leaving ends earlier news after 5 s; when every endpoint is ejected the one due first is tried.

--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -45,14 +45,15 @@
 
 func (c *control) leave() { <-c.gate }
 
-// target returns what the share should hold, with the lock held.
+// target returns what the share should hold, with the lock held: what the
+// demand needs for the time to endure, and enough for a start.
 func (s *Share) target() int64 {
 	demand := s.flow.rate * s.sync.policy.Endure.Seconds()
-	return max(int64(min(demand, MaxPaid)), s.floor())
+	return max(int64(min(demand, MaxPaid)), startCount*min(s.largest, MaxPaid/startCount))
 }
 
-// floor returns the least that the share should hold, with the lock held: a few
-// requests.
+// floor returns what a few requests need, with the lock held. A share below it
+// hands in what is left of a scarce budget.
 func (s *Share) floor() int64 { return floorCount * min(s.largest, MaxPaid/floorCount) }
 
 // low reports whether the share should be refilled ahead of need.
--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -151,6 +152,38 @@
 	})
 }
 
+// TestSealNeedsAQuorum seals a share of which one witness missed the last mark:
+// its word alone would let two spend the same.
+func TestSealNeedsAQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, lagos, Policy{Endure: time.Hour, Alone: 10})
+		w.topUp("start", 10_000)
+		w.request(1, 100, 100, time.Second, 0)
+		time.Sleep(time.Second)
+		h := w.procs[0].holder
+		id := w.procs[1].name + "/1"
+		b, _ := w.read()
+		guards := b.Row(id).Guards()
+		if len(guards) != 3 {
+			t.Fatalf("witnesses %v", guards)
+		}
+		for _, g := range guards[:2] {
+			if err := w.all[g].holder.Witness().Raise(id, 9_000); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, g := range guards[:2] {
+			w.crash(slices.IndexFunc(w.procs, func(p *proc) bool { return p.name == g }))
+		}
+		if m, ok := h.seal(t.Context(), id, guards); ok {
+			t.Errorf("one witness of three sealed at %d", m)
+		}
+		if err := w.finish(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 func TestZoneAloneSpendsItsWholeShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, lagos, Policy{Endure: time.Hour})
--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -86,7 +86,9 @@
 	awayTime = 500 * time.Millisecond
 	// askLimit is the most peers asked for one reservation.
 	askLimit = 8
-	// floorCount is the least that a share should hold, in largest requests.
+	// startCount is the least that a share aims to hold, and floorCount what
+	// counts as nearly nothing, both in largest requests.
+	startCount = 128
 	floorCount = 16
 	// markCount and markTime size the part of a share that a witness has
 	// cleared ahead: largest requests, and time at the present demand.
--- /dev/null
+++ b/internal/conf/jsonc/jsonc_test.go
@@ -0,0 +1,82 @@
+package jsonc
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+type inner struct {
+	Zone  string   `json:"zone"`
+	Tags  []string `json:"tags"`
+	Count int64    `json:"count"`
+	Wait  Span     `json:"wait"`
+}
+
+type outer struct {
+	Name  string           `json:"name"`
+	Parts []inner          `json:"parts"`
+	Rates map[string]inner `json:"rates"`
+}
+
+func TestDecodeReadsComments(t *testing.T) {
+	var got outer
+	src := "{\n  // a comment\n  \"name\": \"x\", /* more */\n  \"parts\": [{\"zone\": \"a\", \"wait\": \"250ms\",}],\n}"
+	tree, err := Decode("f", []byte(src), &got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Name != "x" || len(got.Parts) != 1 || time.Duration(got.Parts[0].Wait) != 250*time.Millisecond {
+		t.Errorf("got %+v", got)
+	}
+	if f := tree.Fault("parts[0].count", "missing"); f.Line() != 4 || f.Column() != 13 {
+		t.Errorf("an absent field is placed at %v", f)
+	}
+}
+
+func TestDecodePlacesFaults(t *testing.T) {
+	for src, want := range map[string]string{
+		"{\n  \"nam\": 1}":                         "f:2:3: nam: unknown field",
+		"{\"name\": \"a\",\n \"name\": \"b\"}":     "f:2:2: name: repeated field",
+		"{\"name\": 7}":                            "f:1:10: name: want string, not number",
+		"{\"parts\": [{\"tags\": [1]}]}":           "f:1:22: parts[0].tags[0]: want string, not number",
+		"{\"parts\": {}}":                          "f:1:11: parts: want an array",
+		"{\"rates\": []}":                          "f:1:11: rates: want an object",
+		"{\"rates\": {\"a\": {\"zon\": 1}}}":       "f:1:18: rates.a.zon: unknown field",
+		"{\"parts\": [{\"count\": 1.5}]}":          "f:1:22: parts[0].count: want int64, not number 1.5",
+		"{\"parts\": [{\"wait\": \"soon\"}]}":      "f:1:21: parts[0].wait: \"soon\" is not a duration such as \"250ms\"",
+		"{\"parts\": [{\"wait\": \"-1s\"}]}":       "f:1:21: parts[0].wait: \"-1s\" is negative",
+		"[1]":                                      "f:1:1: want an object",
+		"{\"name\": \"a\"":                         "f:1:13: parsing object after value: unexpected EOF",
+		"{\"count\": 9223372036854775808}":         "f:1:2: count: unknown field",
+		"{\"parts\": [{\"count\": 1e30}]}":         "f:1:22: parts[0].count: want int64, not number 1e30",
+		"{\"parts\": [{\"count\": \"one\"}]}":      "f:1:22: parts[0].count: want int64, not string",
+		"{\"parts\": [{\"count\": 1}, {\"a\":1}]}": "f:1:27: parts[1].a: unknown field",
+	} {
+		var got outer
+		_, err := Decode("f", []byte(src), &got)
+		var fault *Error
+		if !errors.As(err, &fault) {
+			t.Errorf("%s: error %v", src, err)
+			continue
+		}
+		if fault.Error() != want {
+			t.Errorf("%s:\ngot  %s\nwant %s", src, fault, want)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name": "x", "parts": [{"wait": "1s"}], "rates": {"a": {"count": 1}}}`))
+	f.Add([]byte("{// c\n}"))
+	f.Add([]byte(`[[[[`))
+	f.Add([]byte("{\"na\\u006de\": \"x\"}"))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		var got outer
+		_, err := Decode("f", src, &got)
+		var fault *Error
+		if err != nil && (!errors.As(err, &fault) || fault.Line() < 1 || fault.Column() < 1) {
+			t.Errorf("error without a place: %v", err)
+		}
+	})
+}
--- a/internal/entry/claims/table.go
+++ b/internal/entry/claims/table.go
@@ -74,6 +74,7 @@
 func (t *Table) Find(key, request string) (e *Entry, gone bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(time.Now())
 	e = t.entries[key]
 	if e == nil || e.id != request {
 		return nil, false
--- a/internal/entry/flow/flow.go
+++ b/internal/entry/flow/flow.go
@@ -135,8 +135,7 @@
 		h.Settle(0)
 		return err
 	}
-	if c.Key() != "" && !f.Owners.End(ctx, f.attemptOf(c)) {
-		// Another instance took the request over, and bills it.
+	if !f.mayBill(ctx, c) {
 		h.Settle(0)
 		return err
 	}
@@ -242,13 +241,23 @@
 		h.Settle(0)
 		return err
 	}
-	f.settle(c, h, price.Usage{})
+	if !f.mayBill(ctx, c) {
+		h.Settle(0)
+	} else {
+		f.settle(c, h, price.Usage{})
+	}
 	if err != nil {
 		return err
 	}
 	return sink.End(encodeAnswer(answer), price.Usage{})
 }
 
+// mayBill ends a call's attempt, and reports whether it is still this
+// instance's to bill: another may have taken a keyed one over.
+func (f *Flow) mayBill(ctx context.Context, c *call.Call) bool {
+	return c.Key() == "" || f.Owners.End(context.WithoutCancel(ctx), f.attemptOf(c))
+}
+
 // notRun reports whether an error says that a request did not run.
 func notRun(err error) bool {
 	var r *call.Refusal
--- a/internal/entry/flow/keyed.go
+++ b/internal/entry/flow/keyed.go
@@ -96,14 +96,21 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline())
 	defer cancel()
-	f.Logger.Infof("claim: request %s follows %s at %s", c.ID(), first.Request, first.Process)
 	var cursor relay.Cursor
-	err := f.follow(ctx, c, first, &cursor, sink)
-	if !errors.Is(err, peers.ErrStranger) {
-		return err
-	}
-	if !f.Owners.Take(ctx, first) {
-		return call.Lost(call.NoAnswer, "another instance has taken the request over").After(time.Second)
+	for {
+		f.Logger.Infof("claim: request %s follows %s at %s", c.ID(), first.Request, first.Process)
+		err := f.follow(ctx, c, first, &cursor, sink)
+		if !errors.Is(err, peers.ErrStranger) {
+			return err
+		}
+		if f.Owners.Take(ctx, first) {
+			break
+		}
+		next := f.Owners.Register(ctx, first, c.Service().KeepTime())
+		if next.Process == first.Process {
+			return call.Lost(call.AnswerGone, "the request ran as %s; its answer is no longer kept", first.Request)
+		}
+		first = next
 	}
 	f.Logger.Warnf("claim: request %s is taken over from %s", first.Request, first.Process)
 	return f.adopt(ctx, c.As(first.Request), first.Place, &cursor, sink)
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -56,8 +56,8 @@
 			o.logger.WithError(err).Warnf("claim: an owner of request %s is out of reach", a.Request)
 			continue
 		}
-		if first := answer.GetFirst(); first.GetRequest() != a.Request {
-			return attempt(first)
+		if first := attempt(answer.GetFirst()); first.Request != a.Request || first.Process != a.Process {
+			return first
 		}
 	}
 	return a
--- a/internal/plat/object/http.go
+++ b/internal/plat/object/http.go
@@ -85,7 +85,7 @@
 	}
 	resp, err := c.client.Do(r)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "object"), ErrUnknown)
+		return errors.Mark(errors.Wrap(err, "no answer from the platform"), ErrUnknown)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
--- a/internal/route/choose/board.go
+++ b/internal/route/choose/board.go
@@ -121,6 +121,9 @@
 	if !now.Before(e.leaving) {
 		b.logger.Infof("choose: endpoint %s is leaving", e.Name())
 	}
+	if !now.Before(e.leaving) {
+		e.leftAt = now
+	}
 	if until := now.Add(left); until.After(e.leaving) {
 		e.leaving = until
 	}
@@ -172,8 +175,11 @@
 		}
 		e.others = max(open-e.open, 0)
 		e.reported = time.Now()
-		if leaving {
+		switch {
+		case leaving:
 			b.leave(e, e.reported, LeaveTime)
+		case e.reported.Sub(e.leftAt) > doubtTime:
+			e.leaving = time.Time{}
 		}
 	}
 }
@@ -255,6 +261,9 @@
 			fit = append(fit, e)
 		}
 	}
+	if len(fit) == 0 {
+		fit = g.lastResort(now, tried)
+	}
 	if len(fit) == 0 {
 		return nil, call.Refuse(call.NoCapacity, "no endpoint of %s is in service", c.Service().Name()).After(comeBack)
 	}
@@ -272,6 +281,24 @@
 	return p, nil
 }
 
+// lastResort returns the endpoint whose ejection ends first, for when all are
+// ejected: to try it early is better than to refuse.
+func (g *group) lastResort(now time.Time, tried []string) []*endpoint {
+	var first *endpoint
+	for _, e := range g.endpoints {
+		if now.Before(e.leaving) || e.trial || slices.Contains(tried, e.Name()) {
+			continue
+		}
+		if first == nil || e.until.Before(first.until) {
+			first = e
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return []*endpoint{first}
+}
+
 // patience returns how long a call may be made to wait for an endpoint. It
 // rises with the priority, and halves for an account that has more than twice
 // an equal part of the open requests.
--- a/internal/route/choose/endpoint.go
+++ b/internal/route/choose/endpoint.go
@@ -14,6 +14,9 @@
 	maxEject = 30 * time.Second
 	// LeaveTime is how long word that an endpoint leaves is believed.
 	LeaveTime = time.Minute
+	// doubtTime is after how long an endpoint's own report that it is not leaving
+	// counts for more than earlier news; until then the report may be old.
+	doubtTime = 5 * time.Second
 	// reportLife is the age at which a load report counts for nothing.
 	reportLife = 2 * time.Second
 	// smooth is the weight of a new measurement in a moving average.
@@ -29,6 +32,7 @@
 	until    time.Time // ejected until
 	trial    bool      // a half-open request is under way
 	leaving  time.Time // leaving, as far as known, until
+	leftAt   time.Time // when it was first said to be leaving
 	others   int       // open by other instances when last reported
 	reported time.Time
 	busy     time.Duration // moving average of a request's time
--- a/internal/tools/trial/caller_test.go
+++ b/internal/tools/trial/caller_test.go
@@ -36,7 +36,8 @@
 	status  int
 	text    string // of the answer, or the code of the refusal
 	outcome call.Outcome
-	broken  bool // the answer broke off
+	id      string // of the request
+	broken  bool   // the answer broke off
 }
 
 // chatBody returns a chat completions request and the whole answer to it.
@@ -74,7 +75,7 @@
 		return reply{}, err
 	}
 	defer resp.Body.Close()
-	g := reply{status: resp.StatusCode, outcome: call.Outcome(resp.Header.Get(call.OutcomeHeader))}
+	g := reply{status: resp.StatusCode, outcome: call.Outcome(resp.Header.Get(call.OutcomeHeader)), id: resp.Header.Get(call.RequestHeader)}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		g.readEvents(resp.Body)
 		return g, nil
