choose: follow the prefix across zones under a load bound

The prefix's first three endpoints in rank order are tried fleet-wide below 0.85 of their slots; the others' open requests are taken to be at least 0.9 times this instance's own. A silent member is tried in each round of heartbeats, so that a partition heals without the platform.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,7 @@
 	self  Member
 	known map[string]*record
 	next  int // where the next sample begins
+	live  atomic.Int64
 }
 
 // NewTable returns a table that knows only its own process, which counts a
@@ -56,12 +58,17 @@
 
 // Beat counts a heartbeat and returns the own entry.
 func (t *Table) Beat() Member {
+	t.live.Store(int64(len(t.Live(time.Now()))))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.Count++
 	return t.self
 }
 
+// Others returns the number of other members that were live at the last
+// heartbeat.
+func (t *Table) Others() int { return int(t.live.Load()) }
+
 // Self returns the own entry.
 func (t *Table) Self() Member {
 	t.mu.Lock()
@@ -170,7 +177,8 @@
 }
 
 // Targets returns up to count live members at random, at least one of them in
-// another zone where there is one.
+// another zone where there is one, and one that is silent: it may have woken,
+// or a partition may have ended.
 func (t *Table) Targets(now time.Time, count int) []Member {
 	live := t.Live(now)
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
@@ -178,5 +186,25 @@
 	if far > 0 {
 		live[0], live[far] = live[far], live[0]
 	}
-	return live[:min(count, len(live))]
+	targets := live[:min(count, len(live))]
+	if m, ok := t.lost(now); ok {
+		targets = append(targets, m)
+	}
+	return targets
+}
+
+// lost returns a silent member at random.
+func (t *Table) lost(now time.Time) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var silent []Member
+	for _, r := range t.known {
+		if t.silent(r, now) {
+			silent = append(silent, r.Member)
+		}
+	}
+	if len(silent) == 0 {
+		return Member{}, false
+	}
+	return silent[rand.IntN(len(silent))], true
 }
--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -32,7 +32,7 @@
 	table := node.NewTable(process, s, listeners)
 	client := node.NewClient(table)
 	holder := node.NewHolder(process, store, client, meterMeter, logger)
-	board := node.NewBoard(s, logger)
+	board := node.NewBoard(s, table, logger)
 	reader := node.NewReader(keeper, board)
 	clerk := node.NewClerk(process, store, logger)
 	gate := node.NewGate(s, keeper)
--- a/internal/fleet/node/parts.go
+++ b/internal/fleet/node/parts.go
@@ -115,8 +115,8 @@
 }
 
 // NewBoard returns a board that knows no endpoint.
-func NewBoard(s *setup.Settings, logger log.Interface) *choose.Board {
-	return choose.NewBoard(s.Name(), s.Zone(), logger, nil)
+func NewBoard(s *setup.Settings, t *member.Table, logger log.Interface) *choose.Board {
+	return choose.NewBoard(s.Name(), s.Zone(), logger, t.Others, nil)
 }
 
 // NewReader returns a reader of load reports.
--- a/internal/route/choose/board.go
+++ b/internal/route/choose/board.go
@@ -1,10 +1,12 @@
 package choose
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,13 +20,17 @@
 const (
 	// subsetSize is the most endpoints of one service that an instance uses.
 	subsetSize = 32
-	// spillStep is how much lower the load ratio elsewhere must be to leave the
-	// own zone.
-	spillStep = 0.25
-	// crowded is the load ratio from which a spill is thought of.
-	crowded = 0.75
-	// boundFactor limits affinity: the endpoint may be this much above average.
+	// zoneCost is how much lower the load ratio in another zone must be to leave
+	// the own one.
+	zoneCost = 0.15
+	// affineCount is how many endpoints are tried for a prefix, in rank order.
+	affineCount = 3
+	// boundFactor limits affinity: the endpoint may be this much above the average
+	// load ratio, up to boundTop, which leaves slots for what the last report does
+	// not show. Up to boundFloor, and below average, it always may.
 	boundFactor = 1.25
+	boundTop    = 0.85
+	boundFloor  = 0.5
 	// comeBack is when a caller that finds no capacity is told to come back.
 	comeBack = time.Second
 	// middleRank is the priority that may wait as long as the document's aim.
@@ -37,6 +43,7 @@
 	zone     string
 	logger   log.Interface
 	random   func(n int) int
+	fleet    func() int
 
 	mu     sync.Mutex
 	groups map[string]*group
@@ -50,13 +57,14 @@
 	open      int
 }
 
-// NewBoard returns a board for an instance. Random returns a number below n;
-// with nil the program's own source is used.
-func NewBoard(instance, zone string, logger log.Interface, random func(n int) int) *Board {
+// NewBoard returns a board for an instance. Fleet returns the number of other
+// instances. Random returns a number below n; with nil the program's own source
+// is used.
+func NewBoard(instance, zone string, logger log.Interface, fleet func() int, random func(n int) int) *Board {
 	if random == nil {
 		random = rand.IntN
 	}
-	return &Board{instance: instance, zone: zone, logger: logger, random: random, groups: map[string]*group{}}
+	return &Board{instance: instance, zone: zone, logger: logger, random: random, fleet: fleet, groups: map[string]*group{}}
 }
 
 // Pick is an endpoint chosen for a call. End it with Done exactly once.
@@ -173,8 +181,7 @@
 		if e.Name() != name {
 			continue
 		}
-		e.others = max(open-e.open, 0)
-		e.reported = time.Now()
+		e.hear(max(open-e.open, 0), time.Now())
 		switch {
 		case leaving:
 			b.leave(e, e.reported, LeaveTime)
@@ -216,7 +223,7 @@
 	for _, d := range b.subset(s.Endpoints()) {
 		e := old[d.Name()]
 		if e == nil {
-			e = &endpoint{}
+			e = &endpoint{fleet: b.fleet}
 		}
 		e.Endpoint = d
 		g.endpoints = append(g.endpoints, e)
@@ -310,47 +317,71 @@
 	return most
 }
 
-// best picks among usable endpoints and says why.
+// best picks among usable endpoints and says why. A prompt whose prefix is in a
+// cache starts sooner by more than any zone is away, so for model services the
+// cache goes before the zone.
 func (b *Board) best(c *call.Call, fit []*endpoint, now time.Time) (*endpoint, string) {
-	near, far := split(fit, b.zone)
-	pool, why := fit, "any zone"
-	if len(near) > 0 {
-		pool, why = near, "own zone"
-		own, away := lowest(near, now), lowest(far, now)
-		if own > crowded && away < own-spillStep {
-			pool, why = far, "spill"
-		}
-	}
+	usual := median(fit)
 	if c.Service().Kind() == spec.Model {
-		if e := b.affine(c, pool, now); e != nil {
-			return e, why + ", prefix"
+		if e, place := affine(c, fit, usual, now); e != nil {
+			return e, fmt.Sprintf("prefix, choice %d", place+1)
 		}
 	}
+	near, far := split(fit, b.zone)
+	x, y := b.lighter(near, usual, now), b.lighter(far, usual, now)
+	switch {
+	case y == nil:
+		return x, "own zone, less loaded of two"
+	case x == nil:
+		return y, "other zone, less loaded of two"
+	case y.cost(usual, now)+zoneCost < x.cost(usual, now):
+		return y, "spill to another zone"
+	default:
+		return x, "own zone, less loaded of two"
+	}
+}
+
+// lighter returns the less loaded of two random endpoints, nil for none.
+func (b *Board) lighter(pool []*endpoint, usual time.Duration, now time.Time) *endpoint {
+	if len(pool) == 0 {
+		return nil
+	}
 	x, y := pool[b.random(len(pool))], pool[b.random(len(pool))]
-	if y.ratio(now) < x.ratio(now) {
-		x = y
+	if y.cost(usual, now) < x.cost(usual, now) {
+		return y
 	}
-	return x, fmt.Sprintf("%s, less loaded of two", why)
+	return x
 }
 
 // affine returns the endpoint whose cache is most likely to have the prompt's
-// prefix, if its load is within the bound.
-func (b *Board) affine(c *call.Call, pool []*endpoint, now time.Time) *endpoint {
-	owner := fmt.Sprintf("%x", c.Chat().Prefix)
-	var first *endpoint
-	var top uint64
+// prefix, among the first few that rank for it, if its load is within the
+// bound. Those that take the overflow are always the same, so they come to
+// cache the prefix as well.
+func affine(c *call.Call, fit []*endpoint, usual time.Duration, now time.Time) (*endpoint, int) {
+	owner := strconv.FormatUint(c.Chat().Prefix, 16)
 	sum := 0.0
-	for _, e := range pool {
+	ranked := make([]scored, len(fit))
+	for i, e := range fit {
 		sum += e.ratio(now)
-		if s := subset.Score(owner, e.Name()); first == nil || s > top {
-			first, top = e, s
+		ranked[i] = scored{endpoint: e, score: subset.Score(owner, e.Name())}
+	}
+	slices.SortFunc(ranked, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+	average := sum / float64(len(fit))
+	bound := max(min(boundFactor*average, boundTop), boundFloor, average)
+	for place, r := range ranked[:min(affineCount, len(ranked))] {
+		e := r.endpoint
+		free := e.load(now)+1 <= float64(e.Slots())
+		if free && e.ratio(now) <= bound && !e.slow(usual) {
+			return e, place
 		}
 	}
-	bound := boundFactor * (sum + 1/float64(first.Slots())) / float64(len(pool))
-	if first.ratio(now) > max(bound, 1/float64(first.Slots())) || first.load(now) >= float64(first.Slots()) {
-		return nil
-	}
-	return first
+	return nil, 0
+}
+
+// scored is an endpoint and its rank for a prefix.
+type scored struct {
+	endpoint *endpoint
+	score    uint64
 }
 
 func split(fit []*endpoint, zone string) (near, far []*endpoint) {
@@ -364,11 +395,12 @@
 	return near, far
 }
 
-// lowest returns the lowest load ratio, very high for no endpoint.
-func lowest(pool []*endpoint, now time.Time) float64 {
-	low := 1e9
-	for _, e := range pool {
-		low = min(low, e.ratio(now))
-	}
-	return low
+// median returns the middle of the endpoints' request times.
+func median(fit []*endpoint) time.Duration {
+	times := make([]time.Duration, len(fit))
+	for i, e := range fit {
+		times[i] = e.busy
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
 }
--- a/internal/route/choose/endpoint.go
+++ b/internal/route/choose/endpoint.go
@@ -17,8 +17,14 @@
 	// doubtTime is after how long an endpoint's own report that it is not leaving
 	// counts for more than earlier news; until then the report may be old.
 	doubtTime = 5 * time.Second
-	// reportLife is the age at which a load report counts for nothing.
-	reportLife = 2 * time.Second
+	// reportLife is the age from which a load report counts for less, down to
+	// nothing at twice that age.
+	reportLife = 3 * time.Second
+	// alike is how much of this instance's open requests each other is taken to
+	// have open at the same endpoint.
+	alike = 0.9
+	// slowFactor is how many times the usual time a slow endpoint takes.
+	slowFactor = 1.75
 	// smooth is the weight of a new measurement in a moving average.
 	smooth = 0.1
 )
@@ -29,27 +35,55 @@
 	open     int // by this instance
 	fails    int
 	ejects   int
-	until    time.Time // ejected until
-	trial    bool      // a half-open request is under way
-	leaving  time.Time // leaving, as far as known, until
-	leftAt   time.Time // when it was first said to be leaving
-	others   int       // open by other instances when last reported
+	until    time.Time  // ejected until
+	trial    bool       // a half-open request is under way
+	leaving  time.Time  // leaving, as far as known, until
+	leftAt   time.Time  // when it was first said to be leaving
+	others   float64    // open by other instances, moving average of the reports
+	fleet    func() int // other instances; nil for none
 	reported time.Time
 	busy     time.Duration // moving average of a request's time
 }
 
-// load estimates the open requests of the whole fleet.
+// hear takes in a report of the requests that others have open.
+func (e *endpoint) hear(others int, now time.Time) {
+	if now.Sub(e.reported) > 2*reportLife {
+		e.others = float64(others)
+	}
+	e.others += (float64(others) - e.others) / 2
+	e.reported = now
+}
+
+// load estimates the open requests of the whole fleet: those of this instance
+// and, for the others, what the last reports say, or what this instance has
+// times their number if that is more. Reports are older than most requests, and
+// instances that follow the same prefixes have much the same open.
 func (e *endpoint) load(now time.Time) float64 {
 	age := now.Sub(e.reported)
-	if age >= reportLife {
-		return float64(e.open)
+	fresh := min(max(2-float64(age)/float64(reportLife), 0), 1)
+	guess := 0.0
+	if e.fleet != nil {
+		guess = alike * float64(e.open*e.fleet())
 	}
-	return float64(e.open) + float64(e.others)*(1-float64(age)/float64(reportLife))
+	return float64(e.open) + max(e.others*fresh, guess)
 }
 
 // ratio is the load for each slot.
 func (e *endpoint) ratio(now time.Time) float64 { return e.load(now) / float64(e.Slots()) }
 
+// cost is the load ratio, higher for an endpoint that takes longer than usual.
+func (e *endpoint) cost(usual time.Duration, now time.Time) float64 {
+	if usual == 0 || e.busy <= usual {
+		return e.ratio(now)
+	}
+	return (e.ratio(now) + 1/float64(e.Slots())) * float64(e.busy) / float64(usual)
+}
+
+// slow reports whether the endpoint takes much longer than usual.
+func (e *endpoint) slow(usual time.Duration) bool {
+	return usual > 0 && float64(e.busy) > slowFactor*float64(usual)
+}
+
 // wait predicts how long a new request would queue.
 func (e *endpoint) wait(now time.Time) time.Duration {
 	ahead := e.load(now) + 1 - float64(e.Slots())
--- a/internal/tools/trial/trial_test.go
+++ b/internal/tools/trial/trial_test.go
@@ -9,6 +9,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"go.uber.org/goleak"
+
+	"jacinthladder.dev/internal/tools/load"
 )
 
 // quiet logs nothing.
@@ -47,3 +49,10 @@
 		t.Fatalf("%v\n%s", err, report.String())
 	}
 }
+
+// shortLoad returns a load for tests with faults.
+func shortLoad() load.Config {
+	l := DefaultLoad()
+	l.Count, l.Rate, l.Workers = 600, 0, 32
+	return l
+}
