--- a/cmd/jacinthladder/main.go
+++ b/cmd/jacinthladder/main.go
@@ -70,7 +70,7 @@
 3 overtaken by someone else's change, 4 an invariant broke, 5 platform out of reach.`,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
-	root.AddCommand(newServe(), newService(), newBudget(), newAccount(), newStandin(), newLoad(), newTry(), newVersion())
+	root.AddCommand(newServe(), newService(), newBudget(), newAccount(), newStandin(), newLoad(), newTry(), newMeasure(), newVersion())
 	return root
 }
 
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -178,3 +178,10 @@
 	*q = old[:len(old)-1]
 	return r
 }
+
+// Running returns the requests that run now.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
