--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -7,8 +7,12 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"jacinthladder.dev/internal/tools/seeds"
 )
 
+func TestMain(m *testing.M) { seeds.Main(m, "100") }
+
 func TestOwnersAreInTwoZones(t *testing.T) {
 	members := []Owner{{"a/1", "x"}, {"b/1", "x"}, {"c/1", "y"}, {"d/1", "x"}}
 	for i := range 100 {
--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -160,7 +160,15 @@
 	if b.paid < 0 || b.paid > MaxPaid {
 		return errors.Wrapf(ErrBroken, "paid %d", b.paid)
 	}
+	if b.spent > MaxPaid || b.spent < -MaxPaid {
+		return errors.Wrapf(ErrBroken, "spent %d", b.spent)
+	}
+	held := b.spent
 	for id, r := range b.rows {
+		if out := r.outstanding(); out > MaxPaid || out < -MaxPaid || held > math.MaxInt64/2 || held < math.MinInt64/2 {
+			return errors.Wrapf(ErrBroken, "row %s holds %d", id, out)
+		}
+		held += r.outstanding()
 		if r.raw.Granted < 0 || r.raw.Returned < 0 || r.raw.Used < 0 || r.raw.Granted > math.MaxInt64/2 {
 			return errors.Wrapf(ErrBroken, "row %s has a counter out of range", id)
 		}
--- a/coord/escrow/random_test.go
+++ b/coord/escrow/random_test.go
@@ -3,13 +3,14 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
+
+	"jacinthladder.dev/internal/tools/seeds"
 )
 
 // event is a fault that begins at a time and, where it can, ends after a while.
@@ -179,22 +180,7 @@
 // playTime is the length of each randomised run; a long one is a minute.
 var playTime = flag.Duration("play", 5*time.Second, "length of each randomised run")
 
-// TestMain makes the randomised runs the same every time, unless the command
-// line says otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "6", "rapid.nofailfile": "true"} {
-		set := false
-		flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
-		if set {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeds.Main(m, "6") }
 
 // TestRandomRuns plays randomised faults. A long run is
 //
--- a/coord/limit/limit.go
+++ b/coord/limit/limit.go
@@ -19,6 +19,8 @@
 	// floorPart is the part of an equal part that each process has at least, so
 	// that one with new demand can begin.
 	floorPart = 0.2
+	// rounding is what sums of parts may be off by.
+	rounding = 1e-6
 	// maxUses is the most demands told in one message.
 	maxUses = 64
 )
@@ -85,7 +87,7 @@
 	g := l.gauge(k, now)
 	g.count++
 	ratePart, openPart := l.parts(k, g, now)
-	if m.Open > 0 && float64(g.open) >= max(float64(m.Open)*openPart, 1) {
+	if m.Open > 0 && float64(g.open+1) > max(float64(m.Open)*openPart, 1)+rounding {
 		return nil, windowTime, false
 	}
 	if m.Rate > 0 && !g.take(m.Rate*ratePart, now) {
@@ -157,7 +159,7 @@
 	if own+others == 0 {
 		return max(1/float64(processes), floor)
 	}
-	return floor + (1-floorPart)*own/(own+others)
+	return floor + (1-floorPart)*(own/(own+others))
 }
 
 // Uses returns the demands here, the greatest first, as many as fit a message.
--- /dev/null
+++ b/internal/entry/accept/fuzz_test.go
@@ -0,0 +1,98 @@
+package accept
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/entry/call"
+	"jacinthladder.dev/internal/entry/price"
+	"jacinthladder.dev/internal/fleet/config"
+	"jacinthladder.dev/internal/plat/object"
+)
+
+const bearer = "jl-0123456789abcdef"
+
+// gate returns a gate with one account and one service of each kind.
+func gate(t testing.TB) *Gate {
+	t.Helper()
+	account, err := json.Marshal(config.Account{Name: "a", Keys: []string{config.HashKey(bearer)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := config.NewKeeper(nil, &log.Logger{Handler: discard.Default, Level: log.FatalLevel})
+	k.Offer("test", []object.Object{
+		object.New(config.AccountKind, "a", 1, account),
+		object.New(config.ServiceKind, "s", 2, []byte(`{"name":"s","kind":"model","models":["m"],"prices":{"input":1,"output":2},"budgets":{"a":["b"]},"endpoints":[{"name":"e","zone":"z","url":"http://127.0.0.1:1","slots":1}]}`)),
+		object.New(config.ServiceKind, "p", 3, []byte(`{"name":"p","kind":"plain","budgets":{"a":["b"]},"endpoints":[{"name":"e","zone":"z","url":"http://127.0.0.1:1","slots":1}]}`)),
+	})
+	return &Gate{View: k.View, MaxBody: 1 << 16}
+}
+
+// FuzzChat sends any body: it becomes a call whose bound holds, or a refusal
+// that says not-run.
+func FuzzChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5,"stream":true}`))
+	f.Add([]byte(`{"model":"m","messages":[],"n":2}`))
+	f.Add([]byte(`{"model":"m","messages":[1],"max_tokens":-1,"max_completion_tokens":9223372036854775807}`))
+	f.Add([]byte(`{"model":"m","messages":[{}],"stream_options":null}`))
+	f.Add([]byte(`[]`))
+	g := gate(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", bytes.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+bearer)
+		c, err := g.Chat(httptest.NewRecorder(), r)
+		if err != nil {
+			var refused *call.Refusal
+			if !errors.As(err, &refused) || refused.Outcome() != call.NotRun {
+				t.Fatalf("%v is no refusal", err)
+			}
+			return
+		}
+		var sent struct {
+			MaxTokens int64 `json:"max_tokens"`
+			Stream    bool  `json:"stream"`
+		}
+		if err := json.Unmarshal(c.Chat().Body, &sent); err != nil || sent.MaxTokens != c.Chat().MaxTokens || !sent.Stream {
+			t.Fatalf("sent %s, bounded at %d: %v", c.Chat().Body, c.Chat().MaxTokens, err)
+		}
+		if bound, err := price.Bound(c); err != nil || bound < 2*sent.MaxTokens+int64(len(body)) {
+			t.Fatalf("bound %d, %v", bound, err)
+		}
+	})
+}
+
+func TestRefusalsOfTheGate(t *testing.T) {
+	g := gate(t)
+	for name, want := range map[string]struct {
+		key, body string
+		code      call.Code
+	}{
+		"no key":        {"", `{}`, call.Unauthorized},
+		"wrong key":     {"jl-0123456789abcdeg", `{}`, call.Unauthorized},
+		"malformed":     {bearer, `{`, call.BadRequest},
+		"too large":     {bearer, `{"model":"` + string(make([]byte, 1<<16)) + `"}`, call.TooLarge},
+		"no messages":   {bearer, `{"model":"m"}`, call.BadRequest},
+		"two answers":   {bearer, `{"model":"m","messages":[{}],"n":2}`, call.BadRequest},
+		"zero tokens":   {bearer, `{"model":"m","messages":[{}],"max_tokens":0}`, call.BadRequest},
+		"many tokens":   {bearer, `{"model":"m","messages":[{}],"max_tokens":4097}`, call.BadRequest},
+		"overflow":      {bearer, `{"model":"m","messages":[{}],"max_tokens":9223372036854775808}`, call.BadRequest},
+		"unknown model": {bearer, `{"model":"x","messages":[{}]}`, call.UnknownModel},
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", bytes.NewReader([]byte(want.body)))
+		if want.key != "" {
+			r.Header.Set("Authorization", "Bearer "+want.key)
+		}
+		_, err := g.Chat(httptest.NewRecorder(), r)
+		var refused *call.Refusal
+		if !errors.As(err, &refused) || refused.Code() != want.code || refused.Outcome() != call.NotRun {
+			t.Errorf("%s: %v, want %s", name, err, want.code)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/price/price_test.go
@@ -0,0 +1,52 @@
+package price
+
+import (
+	"fmt"
+	"math"
+	"math/big"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"jacinthladder.dev/internal/conf/spec"
+	"jacinthladder.dev/internal/entry/call"
+	"jacinthladder.dev/internal/tools/seeds"
+)
+
+func TestMain(m *testing.M) { seeds.Main(m, "100") }
+
+// TestCostAgainstBigIntegers compares the cost with arithmetic that has no
+// limit, and checks that no cost is above its bound.
+func TestCostAgainstBigIntegers(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		in := rapid.Int64Range(0, spec.MaxPrice).Draw(r, "input price")
+		cached := rapid.Int64Range(0, in).Draw(r, "cached price")
+		out := rapid.Int64Range(0, spec.MaxPrice).Draw(r, "output price")
+		src := fmt.Sprintf(`{"name":"s","kind":"model","models":["m"],"prices":{"input":%d,"cached":%d,"output":%d},"budgets":{"a":["b"]},"endpoints":[{"name":"e","zone":"z","url":"http://127.0.0.1:1","slots":1}]}`, in, cached, out)
+		s, err := spec.Parse("s", []byte(src), 1)
+		if err != nil {
+			r.Fatal(err)
+		}
+		prompt := rapid.Int64Range(0, math.MaxInt64).Draw(r, "prompt")
+		tokens := rapid.Int64Range(0, math.MaxInt64).Draw(r, "tokens")
+		c := call.NewChat("r", "a", "", 0, s, call.Chat{Prompt: prompt, MaxTokens: tokens})
+		exact := new(big.Int).Add(product(prompt, in), product(tokens, out))
+		bound, err := Bound(c)
+		if exact.IsInt64() != (err == nil) || err == nil && bound != exact.Int64() {
+			r.Fatalf("bound %d, %v, want %s", bound, err, exact)
+		}
+		if err != nil {
+			return
+		}
+		u := Usage{
+			Input:  rapid.Int64Range(0, prompt).Draw(r, "input"),
+			Cached: rapid.Int64Range(-5, prompt).Draw(r, "cached"),
+			Output: rapid.Int64Range(0, tokens).Draw(r, "output"),
+		}
+		if cost := Cost(c, u); cost < 0 || cost > bound {
+			r.Fatalf("cost %d of %+v is above the bound %d", cost, u, bound)
+		}
+	})
+}
+
+func product(a, b int64) *big.Int { return new(big.Int).Mul(big.NewInt(a), big.NewInt(b)) }
