escrow: free a dead holder's share on an operator's word

Cause: a share that peers can't win back stayed stranded for good; budget show said why, and nothing could be done.

budget attest ends the share at what it has spent, as the operator knows it. A holder that lives after all finds its share ended and draws a new one; a test attests the death of a paused holder.

Before: no way.

--- a/cmd/jacinthladder/operate.go
+++ b/cmd/jacinthladder/operate.go
@@ -161,9 +161,30 @@
 			return nil
 		},
 	}
+	var spent int64
+	attest := &cobra.Command{
+		Use:   "attest NAME SHARE --spent N",
+		Short: "End the share of a dead instance at what it has spent",
+		Long: `Attest frees what a dead instance left of a budget. It takes your word for two
+things: that the process has ended and will not wake, and that it has spent no
+more than N micro-units of this share in all, as the engines' logs show. If either
+is wrong, the budget may be overspent.`,
+		Example: "  jacinthladder budget attest field-north-main entry-1/0a1b2c3d4e5f/1 --spent 120000",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := dial().Attest(c.Context(), args[0], args[1], spent)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "budget %s has %d free\n", args[0], b.Free())
+			return nil
+		},
+	}
+	attest.Flags().Int64Var(&spent, "spent", 0, "micro-units that the share has spent in all")
+	require(attest, "spent")
 	require(create, "account")
 	require(topup, "id", "amount")
-	c.AddCommand(create, topup, attach, show)
+	c.AddCommand(create, topup, attach, show, attest)
 	return c
 }
 
--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -155,6 +155,31 @@
 	return nil
 }
 
+// Attest ends the share of a holder that is dead, on an operator's word for what
+// it has spent in all, and frees the rest. The spend can't be below what the
+// holder reported, nor above what it had. A holder that lives after all ends the
+// share when it next reads the book; what it spent meanwhile beyond the word is
+// overspent, which is why only a person can say this.
+func (b *Book) Attest(id string, spent int64) error {
+	r := b.rows[id]
+	if r == nil || r.raw.State == Closed {
+		return ErrUnknownShare
+	}
+	had := r.raw.Granted + r.Received() - r.Sent()
+	if r.raw.State == Sealed {
+		had = r.raw.Bound - r.Sent()
+	}
+	if spent < r.raw.Used || spent > had {
+		return errors.Wrapf(ErrAmount, "spent %d is not between %d and %d", spent, r.raw.Used, had)
+	}
+	r.raw.Used = spent
+	r.raw.Returned = r.raw.Granted + r.Received() - r.Sent() - spent
+	r.raw.State = Closed
+	b.touch(r)
+	b.fold()
+	return b.Check()
+}
+
 // Check returns ErrBroken if rule S1 does not hold or a counter is not sane.
 func (b *Book) Check() error {
 	if b.paid < 0 || b.paid > MaxPaid {
--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -17,7 +17,8 @@
 	failAt  time.Time
 	startAt time.Time // start of the last read that succeeded
 	seq     int64     // number of the last write
-	sealed  bool
+	sealed  bool      // ended by others: by a seal or an operator
+	written bool      // the book has had a row of the share
 
 	restUntil time.Time // before which no refill ahead of need is worth a try
 
--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -47,6 +47,10 @@
 				r.raw.Returned, r.raw.State = r.raw.Granted-r.raw.Used, Closed
 				b.touch(r)
 				b.fold()
+			case "attest":
+				if err := b.Attest(id, number("spent")); err != nil {
+					result = err.Error()
+				}
 			case "write":
 				b.touch(b.open(id))
 				b.fold()
@@ -152,6 +156,39 @@
 	})
 }
 
+// TestAttestedHolderThatLivesEndsItsShare attests the death of a holder that is
+// only paused. It finds its share ended, and draws a new one.
+func TestAttestedHolderThatLivesEndsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, lagos, Policy{Endure: time.Hour})
+		w.topUp("start", 10_000)
+		w.request(1, 100, 100, time.Second, 0)
+		w.pause(1)
+		b, version := w.read()
+		id := w.procs[1].name + "/1"
+		if err := b.Attest(id, 99_999); !errors.Is(err, ErrAmount) {
+			t.Errorf("more than it had: %v", err)
+		}
+		if err := b.Attest(id, 100); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.write(version, b); err != nil {
+			t.Fatal(err)
+		}
+		w.wake(1)
+		time.Sleep(10 * time.Second)
+		for range 20 {
+			w.request(1, 5_000, 100, time.Second, 0)
+		}
+		if err := w.finish(); err != nil || len(w.faults) > 0 {
+			t.Error(err, w.faults)
+		}
+		if b, _ := w.read(); len(b.Holders()) > 0 || b.Spent() != w.truth.used {
+			t.Errorf("left %v, book %d, truth %d", b.Holders(), b.Spent(), w.truth.used)
+		}
+	})
+}
+
 // TestSealNeedsAQuorum seals a share of which one witness missed the last mark:
 // its word alone would let two spend the same.
 func TestSealNeedsAQuorum(t *testing.T) {
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -62,6 +62,9 @@
 		return err
 	}
 	s.absorb(b, began)
+	if s.isEnded(b) {
+		return nil
+	}
 	if m == refillRow {
 		if s.isSealed() {
 			h.retire(s)
@@ -102,9 +105,12 @@
 	if r := b.rows[s.id]; r != nil {
 		s.granted = max(s.granted, r.raw.Granted)
 		c.seq = max(c.seq, r.raw.Seq)
-		c.sealed = c.sealed || r.raw.State == Sealed
+		c.written = true
+		c.sealed = c.sealed || r.raw.State != Open
 		c.guards, c.proposed = r.raw.Guards, nil
 		s.lift()
+	} else if c.written {
+		c.sealed = true // ended by an operator, and folded away
 	}
 	s.check()
 	s.wake()
@@ -125,6 +131,15 @@
 	return s.sync.sealed
 }
 
+// isEnded reports whether the book has no open or sealed row of the share any
+// more, though it had one: there is nothing left to say about it.
+func (s *Share) isEnded(b *Book) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := b.rows[s.id]
+	return s.closing && s.sync.written && (r == nil || r.raw.State == Closed)
+}
+
 // edit changes the share's row in b and reports whether anything changed that
 // is worth a write.
 func (s *Share) edit(b *Book, need int64, m mode) bool {
--- a/coord/escrow/witness.go
+++ b/coord/escrow/witness.go
@@ -10,7 +10,7 @@
 	// ErrSealed means that the share was won back: it may raise no mark.
 	ErrSealed = errors.New("escrow: share is sealed")
 	// ErrUnknownShare means that a witness never heard of a share.
-	ErrUnknownShare = errors.New("escrow: share is unknown to the witness")
+	ErrUnknownShare = errors.New("escrow: share is not known")
 )
 
 // Witness remembers for peers how far the outflow of their shares may go. A
--- a/internal/tools/admin/budget.go
+++ b/internal/tools/admin/budget.go
@@ -108,6 +108,24 @@
 	return b, missing(err, "budget", name)
 }
 
+// Attest ends a dead holder's share of a budget at what it has spent in all, on
+// the operator's word.
+func (a *Admin) Attest(ctx context.Context, name, share string, spent int64) (*escrow.Book, error) {
+	for {
+		b, version, err := books.Read(ctx, a.Store, name)
+		if err != nil {
+			return nil, missing(err, "budget", name)
+		}
+		if err := b.Attest(share, spent); err != nil {
+			return nil, err
+		}
+		err = books.Write(ctx, a.Store, name, version, b)
+		if !errors.Is(err, escrow.ErrConflict) {
+			return b, err
+		}
+	}
+}
+
 // Explain tells where every micro-unit of a budget is, as far as its holders
 // have reported.
 func Explain(name string, b *escrow.Book) string {
