escrow: return spare budget for wishes of holders that peers can't reach

A holder that lacks, with peers out of reach that have, writes a wish into its row; richer holders read the book every 5 s and return up to half.

--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -50,6 +50,7 @@
 	Guards   []string         `json:"guards,omitempty"`
 	Alone    int64            `json:"alone,omitempty"`
 	Bound    int64            `json:"bound,omitempty"`
+	Wish     int64            `json:"wish,omitempty"`
 	At       int64            `json:"at"` // the book's count of writes at the last one of this row
 }
 
@@ -83,6 +84,9 @@
 // Bound returns, for a sealed row, the most that can have flowed out.
 func (r *Row) Bound() int64 { return r.raw.Bound }
 
+// Wish returns what the holder lacks, and peers that it can't reach have.
+func (r *Row) Wish() int64 { return r.raw.Wish }
+
 // Idle returns what the holder had left to spend when it last reported.
 func (r *Row) Idle() int64 {
 	return r.raw.Granted + r.Received() - r.raw.Returned - r.raw.Used - r.Sent()
--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -20,6 +20,8 @@
 	sealed  bool      // ended by others: by a seal or an operator
 	written bool      // the book has had a row of the share
 
+	wish      int64     // what is lacking, and peers out of reach have
+	lookAt    time.Time // when the book was last read to see others' wishes
 	restUntil time.Time // before which no refill ahead of need is worth a try
 
 	deniedAt time.Time // when a gatherer last failed
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -143,7 +143,7 @@
 	if s.scarce(now) && h.handIn(ctx, s) {
 		return false
 	}
-	if away || s.dry(now) || !s.low() && !h.unguarded(s) {
+	if away || s.dry(now) || !s.low() && !h.unguarded(s) && !s.due(now) {
 		return false
 	}
 	err := h.refill(ctx, s, 0, now)
--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -79,6 +79,9 @@
 	// scarceTime is how long a budget counts as scarce after the platform had
 	// nothing free; then this holder looks again by itself.
 	scarceTime = 5 * time.Second
+	// lookTime is how often a holder with much left reads the book for the wishes
+	// of peers that can't reach it.
+	lookTime = 5 * time.Second
 	// denyTime is how long a gatherer's word is believed that a budget can't
 	// pay for an amount.
 	denyTime = 20 * time.Millisecond
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -71,6 +71,7 @@
 			return ErrSealed
 		}
 		h.winBack(ctx, b, need)
+		s.wishFor(b.Free(), h.beyondReach(b))
 		h.enlist(ctx, s)
 	}
 	if !s.edit(b, need, m) {
@@ -164,9 +165,15 @@
 		c.restUntil = time.Now().Add(scarceTime)
 	}
 	same := len(c.proposed) == 0 || slices.Equal(r.raw.Guards, c.proposed)
-	if m == refillRow && grant == 0 && same && !b.changed {
+	var spared int64
+	if m == refillRow && grant == 0 {
+		spared = s.spare(b.wishes(s.id))
+	}
+	wished := r.raw.Wish == c.wish || r.raw.Wish > 0 && c.wish > 0
+	if m == refillRow && grant == 0 && spared == 0 && wished && same && !b.changed {
 		return false
 	}
+	r.raw.Wish = c.wish
 	s.report(r)
 	if !same {
 		r.raw.Guards = c.proposed
