escrow: don't rest after a look that was not for want

Cause: a test that changes escrow.endure saw the same share drawn for 1 s and 10 h. A look for wishes counted as a refill that brought too little, and put the next refill off for 5 s, while demand was just becoming known.

--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -162,7 +162,9 @@
 		// Too little to be worth a write before someone needs it.
 		r.raw.Granted -= grant
 		grant = 0
-		c.restUntil = time.Now().Add(scarceTime)
+		if s.idle() < s.target()/2 {
+			c.restUntil = time.Now().Add(scarceTime)
+		}
 	}
 	same := len(c.proposed) == 0 || slices.Equal(r.raw.Guards, c.proposed)
 	var spared int64
--- a/internal/tools/trial/document_test.go
+++ b/internal/tools/trial/document_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"jacinthladder.dev/internal/entry/settle"
+	"jacinthladder.dev/internal/stand/engine"
 	"jacinthladder.dev/internal/stand/plain"
 )
 
@@ -213,3 +215,84 @@
 		})
 	}
 }
+
+func TestDefaultTokensOfTheDocument(t *testing.T) {
+	f := startFleet(t, edit("drafting", "/tokens/default", 7))
+	message := json.RawMessage(`{"role":"user","content":"no bound"}`)
+	body := []byte(`{"model":"draft-small","messages":[` + string(message) + `]}`)
+	want := strings.Join(engine.Answer(engine.Request{Model: "draft-small", Messages: []json.RawMessage{message}, MaxTokens: 7}), "")
+	if got, err := newCaller(t, f, "field-north").chat(t.Context(), 0, "", body); err != nil || got.text != want {
+		t.Errorf("%+v, %v, want %q", got, err, want)
+	}
+}
+
+func TestTriesOfTheDocument(t *testing.T) {
+	for tries, status := range map[int]int{1: http.StatusBadGateway, 3: http.StatusOK} {
+		t.Run(strconv.Itoa(tries), func(t *testing.T) {
+			f := startFleet(t, edit("custody", "/retries", map[string]any{"tries": tries, "ratio": 1}))
+			f.Plains[3].Set(plain.Faults{After: 1})
+			got, err := newCaller(t, f, "field-north").plain(t.Context(), 3, http.MethodGet, "/cylinders/1", "", nil)
+			if err != nil || got.status != status {
+				t.Errorf("%+v, %v, want status %d", got, err, status)
+			}
+		})
+	}
+}
+
+// TestWaitTimeOfTheDocument lets one request hold nearly all of a budget. A
+// second, at another instance, waits for it to settle, or not.
+func TestWaitTimeOfTheDocument(t *testing.T) {
+	for wait, want := range map[string]int{"5s": http.StatusOK, "1ms": http.StatusPaymentRequired} {
+		t.Run(wait, func(t *testing.T) {
+			f := startFleet(t, func(c *Config) {
+				edit("drafting", "/times/wait", wait)(c)
+				c.Engine.Step = 10 * time.Millisecond
+				c.Budgets["field-north-main"] = 1_000
+			})
+			c := newCaller(t, f, "field-north")
+			var g sync.WaitGroup
+			g.Go(func() {
+				body, _ := chatBody(1, 100, false)
+				if got, err := c.chat(t.Context(), 0, "", body); err != nil || got.status != http.StatusOK {
+					t.Errorf("the first: %+v, %v", got, err)
+				}
+			})
+			time.Sleep(100 * time.Millisecond)
+			body, _ := chatBody(2, 5, false)
+			if got, err := c.chat(t.Context(), 2, "", body); err != nil || got.status != want {
+				t.Errorf("the second: %+v, %v, want status %d", got, err, want)
+			}
+			g.Wait()
+			stopped(t, f)
+		})
+	}
+}
+
+func TestEscrowOfTheDocument(t *testing.T) {
+	drawn := map[string]int64{}
+	for endure, alone := range map[string]int64{"1s": 0, "10h": 5_000} {
+		t.Run(endure, func(t *testing.T) {
+			f := startFleet(t, edit("drafting", "/escrow", map[string]any{"endure": endure, "alone": alone}))
+			c := newCaller(t, f, "field-north")
+			for n := range 40 {
+				body, _ := chatBody(n, 10, false)
+				if got, err := c.chat(t.Context(), 0, "", body); err != nil || got.status != http.StatusOK {
+					t.Fatalf("%+v, %v", got, err)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			b, err := f.Admin.Budget(t.Context(), "field-north-main")
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := b.Row(b.Holders()[0])
+			drawn[endure] = r.Granted()
+			if (len(r.Guards()) > 0) != (alone > 0) {
+				t.Errorf("escrow.alone %d, witnesses %v", alone, r.Guards())
+			}
+		})
+	}
+	if drawn["10h"] <= 2*drawn["1s"] {
+		t.Errorf("drawn for 10h %d, for 1s %d", drawn["10h"], drawn["1s"])
+	}
+}
