escrow: take a budget's policy from all documents in force

Cause: a share kept the policy of the service that first drew on it, so a new escrow.endure was not in force until the share was closed.

The node hands the holder each budget's policy when documents change; the longest endurance of the services that share a budget counts.

--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -55,6 +55,20 @@
 	return max(int64(min(demand, MaxPaid)), startCount*min(s.largest, MaxPaid/startCount))
 }
 
+// treatment returns the policy of the share.
+func (s *Share) treatment() Policy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sync.policy
+}
+
+// endure sets how long the share should last.
+func (s *Share) endure(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync.policy.Endure = d
+}
+
 // floor returns what a few requests need, with the lock held. A share below it
 // hands in what is left of a scarce budget.
 func (s *Share) floor() int64 { return floorCount * min(s.largest, MaxPaid/floorCount) }
--- a/coord/escrow/gather.go
+++ b/coord/escrow/gather.go
@@ -65,7 +65,7 @@
 	hold, ok := s.Reserve(p.Need)
 	if !ok {
 		var err error
-		if hold, err = h.insist(ctx, s.budget, s.sync.policy, n); err != nil {
+		if hold, err = h.insist(ctx, s.budget, s.treatment(), n); err != nil {
 			if !is(err, ErrExhausted) {
 				err = ErrCutOff
 			}
--- a/coord/escrow/guard.go
+++ b/coord/escrow/guard.go
@@ -102,7 +102,7 @@
 // enlist proposes witnesses for a share that has none, or one that is silent.
 // Each must know the mark before the book names it.
 func (h *Holder) enlist(ctx context.Context, s *Share) {
-	if h.peers.Guards == nil || h.peers.Raise == nil || s.sync.policy.Alone == 0 {
+	if h.peers.Guards == nil || h.peers.Raise == nil || s.treatment().Alone == 0 {
 		return
 	}
 	s.mu.Lock()
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -21,6 +21,7 @@
 
 	mu     sync.RWMutex
 	shares map[string]*Share // by budget
+	policy map[string]Policy // by budget, over what Share is told
 	old    []*Share          // sealed, waiting for open reservations to settle
 	opened int
 	closed bool
@@ -69,6 +70,9 @@
 	if s := h.shares[budget]; s != nil {
 		return s
 	}
+	if q, ok := h.policy[budget]; ok {
+		p = q
+	}
 	h.opened++
 	s = NewShare(budget, fmt.Sprintf("%s/%d", h.process, h.opened), h.fault)
 	s.sync.policy = p
@@ -78,6 +82,20 @@
 	return s
 }
 
+// Configure sets how budgets are treated from now on, whatever Share and Reserve
+// are told. Shares that are held take a new Endure at once; a new Alone holds for
+// shares that are drawn later.
+func (h *Holder) Configure(policies map[string]Policy) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.policy = policies
+	for budget, s := range h.shares {
+		if p, ok := policies[budget]; ok {
+			s.endure(p.Endure)
+		}
+	}
+}
+
 // find returns the share with the given ID, nil if there is none.
 func (h *Holder) find(budget, id string) *Share {
 	h.mu.RLock()
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -173,6 +173,7 @@
 		n.holder.Run,
 		n.beater.Run,
 		n.reader.Run,
+		n.configure,
 		func(ctx context.Context) { n.keeper.Run(ctx, n.onDuty) },
 		func(ctx context.Context) { n.clerk.Run(ctx, n.settings.File()) },
 	} {
@@ -201,6 +202,30 @@
 	}
 }
 
+// configure hands the holder each budget's policy whenever the documents change.
+// A budget that services share endures as long as any of them asks.
+func (n *Node) configure(ctx context.Context) {
+	for {
+		changed := n.keeper.Changed()
+		policies := map[string]escrow.Policy{}
+		for _, s := range n.keeper.View().Services() {
+			for _, account := range s.Accounts() {
+				for _, b := range s.Budgets(account) {
+					p := policies[b]
+					p.Endure, p.Alone = max(p.Endure, s.Endure()), max(p.Alone, s.Alone())
+					policies[b] = p
+				}
+			}
+		}
+		n.holder.Configure(policies)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (n *Node) serve() {
 	for _, s := range []struct {
 		server   *http.Server
--- a/internal/tools/slopes/target.go
+++ b/internal/tools/slopes/target.go
@@ -19,6 +19,7 @@
 	replaced    = 680.0    // instances a day
 	day         = 86_400.0 // seconds
 	endure      = 3_600.0  // seconds that a share lasts
+	lookSeconds = 5.0      // between two looks of a share for wishes
 	gapSeconds  = 0.042    // between two tokens
 	fanOut      = 4.0      // heartbeats in a round
 	sample      = 48.0     // members in a heartbeat
@@ -78,7 +79,7 @@
 			memory:  s["share"].At(shares) * mega,
 			wire:    2 * refill * s["budget"].At(nodes) * kilo,
 			writes:  nodes * refill,
-			reads:   nodes * refill,
+			reads:   nodes * (refill + shares/lookSeconds),
 			carries: "shares by demand and endurance; the gatherer of a budget",
 			verdict: fmt.Sprintf("breaks at %.0f nodes that all draw on all budgets: one gatherer for each zone and budget must draw for its zone (%.0f writes/s), the others ask it", writeLimit/refill, zones*budgets/(endure/2)),
 		},
--- a/internal/tools/trial/document_test.go
+++ b/internal/tools/trial/document_test.go
@@ -272,7 +272,11 @@
 	drawn := map[string]int64{}
 	for endure, alone := range map[string]int64{"1s": 0, "10h": 5_000} {
 		t.Run(endure, func(t *testing.T) {
-			f := startFleet(t, edit("drafting", "/escrow", map[string]any{"endure": endure, "alone": alone}))
+			f := startFleet(t, func(c *Config) {
+				c.Edit = func(_ string, src []byte) ([]byte, error) {
+					return patch(src, "/escrow", map[string]any{"endure": endure, "alone": alone})
+				}
+			})
 			c := newCaller(t, f, "field-north")
 			for n := range 40 {
 				body, _ := chatBody(n, 10, false)
