--- a/coord/escrow/table_test.go
+++ b/coord/escrow/table_test.go
@@ -124,28 +124,33 @@
 // tableFaults are the faults of the table, alone and in pairs.
 var tableFaults = []struct {
 	name   string
+	endure time.Duration
 	alone  int64
 	events []event
 }{
-	{"none", 0, nil},
-	{"zone cut off from the platform, 1 h", 0, []event{{"cut platform", 1, 5 * time.Minute, hour}}},
-	{"zone cut off from peers, 1 h", 0, []event{{"cut zone", 1, 5 * time.Minute, hour}}},
-	{"zone alone, 1 h", 0, []event{{"cut platform", 1, 5 * time.Minute, hour}, {"cut zone", 1, 5 * time.Minute, hour}}},
-	{"platform down, 20 min", 0, []event{{"platform down", 0, 10 * time.Minute, 20 * time.Minute}}},
-	{"platform slow, 20 min", 0, []event{{"platform slow", 0, 10 * time.Minute, 20 * time.Minute}}},
-	{"answers lost, 20 min", 0, []event{{"lose answers", 0, 10 * time.Minute, 20 * time.Minute}}},
-	{"crash, waiting", 0, []event{{"crash", 1, 20 * time.Minute, time.Minute}}},
-	{"crash, witnesses", 200_000, []event{{"crash", 1, 20 * time.Minute, time.Minute}}},
-	{"pause 10 min", 0, []event{{"pause", 1, 20 * time.Minute, 10 * time.Minute}}},
-	{"pause 10 min, witnesses", 200_000, []event{{"pause", 1, 20 * time.Minute, 10 * time.Minute}}},
-	{"split in two, 30 min", 0, []event{{"split", 1, 10 * time.Minute, 30 * time.Minute}}},
-	{"top-ups", 0, []event{{"top up", 0, 20 * time.Minute, time.Minute}, {"top up", 1, 52 * time.Minute, time.Minute}}},
-	{"platform down and crash", 0, []event{{"platform down", 0, 10 * time.Minute, 20 * time.Minute}, {"crash", 1, 20 * time.Minute, time.Minute}}},
-	{"platform down and crash, witnesses", 200_000, []event{{"platform down", 0, 10 * time.Minute, 20 * time.Minute}, {"crash", 1, 20 * time.Minute, time.Minute}}},
-	{"cut off from the platform and top-ups", 0, []event{{"cut platform", 1, 5 * time.Minute, hour}, {"top up", 0, 52 * time.Minute, time.Minute}}},
-	{"split and messages lost", 0, []event{{"split", 1, 10 * time.Minute, 30 * time.Minute}, {"lose messages", 1, 5 * time.Minute, 50 * time.Minute}}},
-	{"two crashes, witnesses", 200_000, []event{{"crash", 1, 20 * time.Minute, time.Minute}, {"crash", 2, 30 * time.Minute, time.Minute}}},
-	{"answers lost and messages repeated", 0, []event{{"lose answers", 0, 10 * time.Minute, 20 * time.Minute}, {"repeat messages", 0, 10 * time.Minute, 40 * time.Minute}}},
+	{"none", hour, 0, nil},
+	{"zone cut off from the platform, 1 h", hour, 0, []event{{"cut platform", 1, 5 * time.Minute, hour}}},
+	{"zone cut off from peers, 1 h", hour, 0, []event{{"cut zone", 1, 5 * time.Minute, hour}}},
+	{"zone alone, 1 h", hour, 0, []event{{"cut platform", 1, 5 * time.Minute, hour}, {"cut zone", 1, 5 * time.Minute, hour}}},
+	{"platform down, 20 min", hour, 0, []event{{"platform down", 0, 10 * time.Minute, 20 * time.Minute}}},
+	{"platform slow, 20 min", hour, 0, []event{{"platform slow", 0, 10 * time.Minute, 20 * time.Minute}}},
+	{"answers lost, 20 min", hour, 0, []event{{"lose answers", 0, 10 * time.Minute, 20 * time.Minute}}},
+	{"crash, waiting", hour, 0, []event{{"crash", 1, 20 * time.Minute, time.Minute}}},
+	{"crash, witnesses", hour, 200_000, []event{{"crash", 1, 20 * time.Minute, time.Minute}}},
+	{"crash, small grants", 10 * time.Second, 0, []event{{"crash", 1, 20 * time.Minute, time.Minute}}},
+	{"zone alone, 1 h, small grants", 10 * time.Second, 0, []event{{"cut platform", 1, 5 * time.Minute, hour}, {"cut zone", 1, 5 * time.Minute, hour}}},
+	{"platform down, 20 min, small grants", 10 * time.Second, 0, []event{{"platform down", 0, 10 * time.Minute, 20 * time.Minute}}},
+	{"zone alone, 1 h, witnesses", hour, 200_000, []event{{"cut platform", 1, 5 * time.Minute, hour}, {"cut zone", 1, 5 * time.Minute, hour}}},
+	{"pause 10 min", hour, 0, []event{{"pause", 1, 20 * time.Minute, 10 * time.Minute}}},
+	{"pause 10 min, witnesses", hour, 200_000, []event{{"pause", 1, 20 * time.Minute, 10 * time.Minute}}},
+	{"split in two, 30 min", hour, 0, []event{{"split", 1, 10 * time.Minute, 30 * time.Minute}}},
+	{"top-ups", hour, 0, []event{{"top up", 0, 20 * time.Minute, time.Minute}, {"top up", 1, 52 * time.Minute, time.Minute}}},
+	{"platform down and crash", hour, 0, []event{{"platform down", 0, 10 * time.Minute, 20 * time.Minute}, {"crash", 1, 20 * time.Minute, time.Minute}}},
+	{"platform down and crash, witnesses", hour, 200_000, []event{{"platform down", 0, 10 * time.Minute, 20 * time.Minute}, {"crash", 1, 20 * time.Minute, time.Minute}}},
+	{"cut off from the platform and top-ups", hour, 0, []event{{"cut platform", 1, 5 * time.Minute, hour}, {"top up", 0, 52 * time.Minute, time.Minute}}},
+	{"split and messages lost", hour, 0, []event{{"split", 1, 10 * time.Minute, 30 * time.Minute}, {"lose messages", 1, 5 * time.Minute, 50 * time.Minute}}},
+	{"two crashes, witnesses", hour, 200_000, []event{{"crash", 1, 20 * time.Minute, time.Minute}, {"crash", 2, 30 * time.Minute, time.Minute}}},
+	{"answers lost and messages repeated", hour, 0, []event{{"lose answers", 0, 10 * time.Minute, 20 * time.Minute}, {"repeat messages", 0, 10 * time.Minute, 40 * time.Minute}}},
 }
 
 // cell is one run of the table.
@@ -156,8 +161,8 @@
 
 // runCell plays one scheme on one shape under one fault. The budget runs out
 // when four fifths of the time have passed.
-func runCell(s scheme, sh shape, alone int64, events []event, length time.Duration) (c cell, err error) {
-	w := newWorld(1, sh.zones, Policy{Endure: time.Hour, Alone: alone})
+func runCell(s scheme, sh shape, p Policy, events []event, length time.Duration) (c cell, err error) {
+	w := newWorld(1, sh.zones, p)
 	w.scheme = s
 	const meanUse = 500
 	var demand float64
@@ -233,7 +238,7 @@
 					defer func() { <-slots }()
 					chosen := s()
 					synctest.Test(t, func(t *testing.T) {
-						c, err := runCell(chosen, sh, f.alone, scaled(f.events, length), length)
+						c, err := runCell(chosen, sh, Policy{Endure: f.endure, Alone: f.alone}, scaled(f.events, length), length)
 						if err != nil {
 							t.Errorf("%s, %s, %s: %v", sh.name, f.name, chosen.name, err)
 						}
