escrow: refuse at once on a share that takes no more reservations

Cause: read on review.

Such a share is no longer waited for. Dead code goes: object.Store.Update, load.Ledger.Overspent and a field of the share that nothing read.

--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -12,8 +12,7 @@
 	gate    chan struct{}
 	marking chan struct{} // lets one request at a time raise marks
 	policy  Policy
-	owner   string // client account of the budget
-	free    int64  // what the book had free when last read
+	free    int64 // what the book had free when last read
 	readAt  time.Time
 	failAt  time.Time
 	startAt time.Time // start of the last read that succeeded
--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -159,10 +159,13 @@
 }
 
 // plenty reports whether the platform had enough for amount when last asked, not
-// long ago.
+// long ago. To a share that takes no more reservations it is of no use.
 func (s *Share) plenty(amount int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closing || s.broken != nil {
+		return false
+	}
 	c := &s.sync
 	return c.free >= amount && !c.failAt.After(c.readAt) && time.Since(c.readAt) < dryTime && s.limit-s.outflow() >= amount
 }
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -99,7 +99,6 @@
 func (s *Share) absorb(b *Book, began time.Time) {
 	s.mu.Lock()
 	c := &s.sync
-	c.owner = b.account
 	c.free = b.Free()
 	c.readAt = time.Now()
 	c.startAt = began
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -73,23 +73,3 @@
 	// A wait of 0 lists at once.
 	Watch func(ctx context.Context, kind string, after int64, wait time.Duration) (Page, error)
 }
-
-// Update reads an object, lets edit change its value, and writes it, again
-// after each conflict. A missing object is given to edit as nil. An error of
-// edit ends the update. After ErrUnknown the caller must read again.
-func (s *Store) Update(ctx context.Context, kind, name string, edit func(old []byte) ([]byte, error)) (int64, error) {
-	for {
-		old, err := s.Get(ctx, kind, name)
-		if err != nil && !errors.Is(err, ErrMissing) {
-			return 0, err
-		}
-		value, err := edit(old.value)
-		if err != nil {
-			return 0, err
-		}
-		version, err := s.Put(ctx, kind, name, old.version, value)
-		if !errors.Is(err, ErrConflict) {
-			return version, err
-		}
-	}
-}
--- a/internal/tools/load/ledger.go
+++ b/internal/tools/load/ledger.go
@@ -55,14 +55,3 @@
 	b.reserved -= bound
 	return b.used+b.reserved+bound <= b.paid
 }
-
-// Overspent returns by how much the accounts have used more than they paid.
-func (l *Ledger) Overspent() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var over int64
-	for _, b := range l.accounts {
-		over += max(b.used-b.paid, 0)
-	}
-	return over
-}
