--- a/cmd/jacinthladder/serve.go
+++ b/cmd/jacinthladder/serve.go
@@ -15,6 +15,7 @@
 
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/fleet/build"
+	"jacinthladder.dev/platform"
 )
 
 func newServe() *cobra.Command {
@@ -25,10 +26,19 @@
 		Example: "  jacinthladder serve --settings examples/okonjo/entry-1.jsonc",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if file == "" {
+				file = os.Getenv(platform.SettingsVariable)
+			}
+			if file == "" {
+				return errors.Mark(errors.New("serve: no settings file is named"), errUsage)
+			}
 			s, err := setup.Load(file)
 			if err != nil {
 				return err
 			}
+			if s.Forward() != nil {
+				return forward(c.Context(), s, c.OutOrStdout())
+			}
 			logger, err := newLogger(c.ErrOrStderr(), s.Level(), s.Format())
 			if err != nil {
 				return err
@@ -36,10 +46,7 @@
 			return serve(c.Context(), s, logger)
 		},
 	}
-	c.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
-	if err := c.MarkFlagRequired("settings"); err != nil {
-		panic(err) // the flag is defined above
-	}
+	c.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments; left out, "+platform.SettingsVariable+" names it")
 	return c
 }
 
@@ -50,6 +57,12 @@
 	if err != nil {
 		return err
 	}
+	return untilSignal(ctx, logger, n.Run)
+}
+
+// untilSignal runs run, ends its first context at the first SIGTERM or interrupt
+// and its second at the next.
+func untilSignal(ctx context.Context, logger log.Interface, run func(ctx, now context.Context) error) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
@@ -63,7 +76,7 @@
 		logger.Warnf("serve: got %s again, open requests are cut off", <-signals)
 		cut()
 	}()
-	return n.Run(planned, now)
+	return run(planned, now)
 }
 
 // newLogger returns a logger that writes lines of text or JSON.
--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -159,6 +159,19 @@
 	return nil
 }
 
+// PayUp makes the budget count at least total as paid in. It reports whether that
+// changed anything; what was paid in never falls.
+func (b *Book) PayUp(total int64) (bool, error) {
+	if total < 0 || total > MaxPaid {
+		return false, ErrAmount
+	}
+	if total <= b.paid {
+		return false, nil
+	}
+	b.paid = total
+	return true, nil
+}
+
 // Attest ends the share of a holder that is dead, on an operator's word for what
 // it has spent in all, and frees the rest. The spend can't be below what the
 // holder reported, nor above what it had. A holder that lives after all ends the
--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -52,8 +52,12 @@
 // target returns what the share should hold, with the lock held: what the
 // demand needs for the time to endure, and enough for a start.
 func (s *Share) target() int64 {
-	demand := s.flow.rate * s.sync.policy.Endure.Seconds()
-	return max(int64(min(demand, MaxPaid)), startCount*min(s.largest, MaxPaid/startCount))
+	demand := max(s.flow.rate, s.flow.fast) * s.sync.policy.Endure.Seconds()
+	start := s.sync.policy.Start
+	if start == 0 {
+		start = startCount * min(s.largest, MaxPaid/startCount)
+	}
+	return max(int64(min(demand, MaxPaid)), start)
 }
 
 // treatment returns the policy of the share.
@@ -63,16 +67,22 @@
 	return s.sync.policy
 }
 
-// endure sets how long the share should last.
-func (s *Share) endure(d time.Duration) {
+// treat takes over all of a policy but Alone.
+func (s *Share) treat(p Policy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sync.policy.Endure = d
+	p.Alone = s.sync.policy.Alone
+	s.sync.policy = p
 }
 
 // floor returns what a few requests need, with the lock held. A share below it
 // hands in what is left of a scarce budget.
-func (s *Share) floor() int64 { return floorCount * min(s.largest, MaxPaid/floorCount) }
+func (s *Share) floor() int64 {
+	if f := s.sync.policy.Floor; f > 0 {
+		return f
+	}
+	return floorCount * min(s.largest, MaxPaid/floorCount)
+}
 
 // low reports whether the share should be refilled ahead of need.
 func (s *Share) low() bool {
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -83,7 +83,7 @@
 }
 
 // Configure sets how budgets are treated from now on, whatever Share and Reserve
-// are told. Shares that are held take a new Endure at once; a new Alone holds for
+// are told. Shares that are held take it over at once, but a new Alone holds for
 // shares that are drawn later.
 func (h *Holder) Configure(policies map[string]Policy) {
 	h.mu.Lock()
@@ -91,7 +91,7 @@
 	h.policy = policies
 	for budget, s := range h.shares {
 		if p, ok := policies[budget]; ok {
-			s.endure(p.Endure)
+			s.treat(p)
 		}
 	}
 }
--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -62,6 +62,10 @@
 	// Alone is what may be spent without a witness, in micro-units. With 0 the
 	// holder needs no witness, and nothing it leaves can be won back by peers.
 	Alone int64
+	// Start is the least that a share aims to hold, whatever the demand, and
+	// Floor what counts as nearly nothing, in micro-units. With 0 they follow
+	// from the largest request.
+	Start, Floor int64
 }
 
 const (
--- a/coord/escrow/share.go
+++ b/coord/escrow/share.go
@@ -211,6 +211,7 @@
 // the plain average since the beginning.
 type meter struct {
 	rate  float64
+	fast  float64 // the same over fastTime, to see a sudden rise
 	since int64
 	begun time.Time
 	last  time.Time
@@ -219,6 +220,9 @@
 // meterTime is the time constant of the average.
 const meterTime = 30 * time.Second
 
+// fastTime is the time constant of the fast average.
+const fastTime = 2 * time.Second
+
 func (m *meter) add(amount int64) { m.since += amount }
 
 // tick folds what was added since the last tick into the average.
@@ -234,6 +238,7 @@
 	fresh := float64(m.since) / passed.Seconds()
 	weight := max(1-math.Exp(-passed.Seconds()/meterTime.Seconds()), passed.Seconds()/now.Sub(m.begun).Seconds())
 	m.rate += (fresh - m.rate) * weight
+	m.fast += (fresh - m.fast) * (1 - math.Exp(-passed.Seconds()/fastTime.Seconds()))
 	m.since = 0
 	m.last = now
 }
--- /dev/null
+++ b/coord/retry/window.go
@@ -0,0 +1,72 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// slots is the number of parts that a window is counted in.
+const slots = 20
+
+// Window bounds the retries of one process in every span of time: to a ratio of
+// its requests and a fixed extra. Processes that cannot talk to each other keep a
+// bound for all of them together if each gets its part of the extra.
+//
+// Requests count only while they are younger than the span and older retries
+// count for one part longer, so the bound holds in any span, wherever it begins.
+type Window struct {
+	// Ratio is the most retries for each request.
+	Ratio float64
+	// Extra is the most retries beyond that in each span.
+	Extra float64
+	// Span is the length of time over which the bound holds.
+	Span time.Duration
+
+	mu       sync.Mutex
+	at       int64 // the part that is counted now
+	requests [slots + 1]float64
+	retries  [slots + 1]float64
+}
+
+// Begin counts a request.
+func (w *Window) Begin(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requests[w.turn(now)]++
+}
+
+// Take counts a retry and reports true, or reports false if it would be one too
+// many.
+func (w *Window) Take(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := w.turn(now)
+	var requests, retries float64
+	for j := range w.retries {
+		retries += w.retries[j]
+		if j != (i+1)%len(w.requests) { // the oldest part may be outside the span
+			requests += w.requests[j]
+		}
+	}
+	if retries+1 > w.Ratio*requests+w.Extra {
+		return false
+	}
+	w.retries[i]++
+	return true
+}
+
+// turn moves on to the part of now and returns its index.
+func (w *Window) turn(now time.Time) int {
+	part := now.UnixNano() / max(int64(w.Span)/slots, 1)
+	if w.at == 0 {
+		w.at = part
+	}
+	for ; w.at < part; w.at++ {
+		i := (w.at + 1) % int64(len(w.retries))
+		w.requests[i], w.retries[i] = 0, 0
+		if part-w.at > int64(len(w.retries)) {
+			w.at = part - int64(len(w.retries)) - 1
+		}
+	}
+	return int(w.at % int64(len(w.retries)))
+}
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -28,6 +29,26 @@
 	Memory   int64      `json:"memory"`
 	Level    string     `json:"level"`
 	Format   string     `json:"format"`
+	Forward  *Forward   `json:"forward"`
+}
+
+// Forward is the section of an instance that serves forwarded routes.
+type Forward struct {
+	// Ready is the address at which the balancer asks whether the instance is to
+	// get requests.
+	Ready string `json:"ready"`
+	// Seeds are peer addresses of a few instances, some perhaps stale.
+	Seeds []string `json:"seeds"`
+	// Grace is how long a planned stop may take before the process is killed.
+	Grace jsonc.Span `json:"grace"`
+	// Endure is how long shares of budgets should last without the platform.
+	Endure jsonc.Span `json:"endure"`
+	// Ratio, Extra and Window bound the retries of the whole fleet.
+	Ratio  float64    `json:"ratio"`
+	Extra  float64    `json:"extra"`
+	Window jsonc.Span `json:"window"`
+	// Megabytes is the memory that the process may use.
+	Megabytes int64 `json:"megabytes"`
 }
 
 // Settings are the checked settings of one instance.
@@ -136,10 +157,36 @@
 		return "memory", "must be more than 0"
 	case t.Format != "text" && t.Format != "json":
 		return "format", fmt.Sprintf("%q is neither \"text\" nor \"json\"", t.Format)
+	case t.Forward != nil:
+		return t.Forward.check()
 	}
 	return "", ""
 }
 
+// check returns the field at fault and the reason, both empty when all is well.
+func (f *Forward) check() (field, reason string) {
+	for _, a := range append([]string{f.Ready}, f.Seeds...) {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return "forward", fmt.Sprintf("%q is not an IP number and port", a)
+		}
+	}
+	switch {
+	case f.Grace <= 0:
+		return "forward", "grace must be more than 0"
+	case f.Window <= 0:
+		return "forward", "window must be more than 0"
+	case f.Ratio < 0 || f.Extra < 0:
+		return "forward", "ratio and extra must not be negative"
+	case f.Megabytes < 0:
+		return "forward", "megabytes must not be negative"
+	}
+	return "", ""
+}
+
+// Forward returns the section for forwarded routes, nil if the instance does not
+// serve any.
+func (s *Settings) Forward() *Forward { return s.raw.Forward }
+
 // Name returns the instance's name.
 func (s *Settings) Name() string { return s.raw.Name }
 
--- a/internal/fleet/build/wire.go
+++ b/internal/fleet/build/wire.go
@@ -7,6 +7,7 @@
 	"github.com/google/wire"
 
 	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/front"
 	"jacinthladder.dev/internal/fleet/node"
 )
 
@@ -16,3 +17,10 @@
 	wire.Build(node.Set)
 	return nil, nil
 }
+
+// Front returns an instance for forwarded routes that listens at the addresses of
+// its settings and does not serve yet.
+func Front(s *setup.Settings, logger log.Interface) (*front.Node, error) {
+	wire.Build(front.Set)
+	return nil, nil
+}
--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -7,11 +7,13 @@
 package build
 
 import (
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/entry/meter"
 	"jacinthladder.dev/internal/entry/relay"
 	"jacinthladder.dev/internal/entry/send"
+	"jacinthladder.dev/internal/fleet/front"
 	"jacinthladder.dev/internal/fleet/node"
 	"jacinthladder.dev/internal/fleet/owner"
 )
@@ -67,3 +69,48 @@
 	nodeNode := node.New(parts)
 	return nodeNode, nil
 }
+
+// Front returns an instance for forwarded routes that listens at the addresses of
+// its settings and does not serve yet.
+func Front(s *setup.Settings, logger log.Interface) (*front.Node, error) {
+	listeners, err := front.Listen(s)
+	if err != nil {
+		return nil, err
+	}
+	set := metrics.NewSet()
+	client := front.NewClient()
+	rules := front.NewRules()
+	store := front.NewStore(s, client, set, logger)
+	board := front.NewBoard(s)
+	feeds := front.NewFeeds(store, rules, board, logger)
+	process := node.NewProcess(s)
+	table := front.NewTable(process, s)
+	peersClient := node.NewClient(table)
+	holder := front.NewHolder(process, store, peersClient, set, logger)
+	purse := front.NewPurse(s, holder, store)
+	server := front.NewServer(table, holder, feeds, board)
+	beater := front.NewBeater(peersClient, server, s, logger)
+	pool := front.NewPool()
+	retries := front.NewRetries(s, table)
+	serveServer := front.NewForwarder(rules, board, pool, purse, retries, set, logger)
+	parts := front.Parts{
+		Settings:  s,
+		Listeners: listeners,
+		Logger:    logger,
+		Metrics:   set,
+		Client:    client,
+		Rules:     rules,
+		Feeds:     feeds,
+		Board:     board,
+		Holder:    holder,
+		Purse:     purse,
+		Table:     table,
+		Peers:     peersClient,
+		Server:    server,
+		Beater:    beater,
+		Pool:      pool,
+		Forwarder: serveServer,
+	}
+	frontNode := front.New(parts)
+	return frontNode, nil
+}
--- /dev/null
+++ b/internal/fleet/feed/feed.go
@@ -0,0 +1,268 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/plat/object"
+)
+
+const (
+	// watchTime is how long one watch waits at the platform.
+	watchTime = 20 * time.Second
+	// probeTime is how long a watch waits after a failure: short, so that a
+	// connection that fell silent does not hold up the next news.
+	probeTime = 500 * time.Millisecond
+	// answerTime bounds an answer of the platform beyond the wait.
+	answerTime = 1200 * time.Millisecond
+	// firstPause and lastPause bound the pause between two tries.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
+)
+
+// Feed follows one kind. Make one with New.
+type Feed struct {
+	kind   string
+	store  *object.Store
+	logger log.Interface
+
+	// Absent is how long an object must be missing from the platform's lists
+	// before it counts as deleted; 0 means at once.
+	Absent time.Duration
+	// Silent is the longest that a watch may bring nothing before the feed asks
+	// again on a new call.
+	Silent time.Duration
+	// Apply takes in news, one object at a time, in order of version.
+	Apply func(source string, o object.Object)
+
+	mu      sync.Mutex
+	objects map[string]object.Object // also those deleted
+	missing map[string]time.Time     // since when lists lack an object
+	seen    int64                    // watched up to this version
+	listed  bool
+	changed chan struct{}
+	away    bool
+}
+
+// New returns a feed that knows nothing.
+func New(kind string, store *object.Store, logger log.Interface) *Feed {
+	return &Feed{
+		kind: kind, store: store, logger: logger, Silent: watchTime,
+		objects: map[string]object.Object{}, missing: map[string]time.Time{}, changed: make(chan struct{}),
+	}
+}
+
+// Known reports whether the kind has been listed at least once.
+func (f *Feed) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Newest returns the highest version of an object known.
+func (f *Feed) Newest() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var newest int64
+	for _, o := range f.objects {
+		newest = max(newest, o.Version())
+	}
+	return newest
+}
+
+// Changed returns a channel that is closed at the next change.
+func (f *Feed) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Since returns the objects above a version, in order, and the highest version
+// known.
+func (f *Feed) Since(after int64) ([]object.Object, int64) {
+	newest := f.Newest()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var fresh []object.Object
+	for _, o := range f.objects {
+		if o.Version() > after && !o.Deleted() {
+			fresh = append(fresh, o)
+		}
+	}
+	slices.SortFunc(fresh, byVersion)
+	return fresh, newest
+}
+
+// Catch takes in what a peer knows.
+func (f *Feed) Catch(peer string, objects []object.Object, _ int64) { f.offer(peer, objects) }
+
+func byVersion(a, b object.Object) int {
+	switch {
+	case a.Version() < b.Version():
+		return -1
+	case a.Version() > b.Version():
+		return 1
+	}
+	return 0
+}
+
+// offer takes in what is newer than known.
+func (f *Feed) offer(source string, objects []object.Object) {
+	objects = slices.Clone(objects)
+	slices.SortFunc(objects, byVersion)
+	f.mu.Lock()
+	var fresh []object.Object
+	for _, o := range objects {
+		delete(f.missing, o.Name())
+		if old, ok := f.objects[o.Name()]; ok && !newer(o, old) {
+			continue
+		}
+		f.objects[o.Name()] = o
+		fresh = append(fresh, o)
+	}
+	f.mu.Unlock()
+	for _, o := range fresh {
+		f.Apply(source, o)
+	}
+	if len(fresh) > 0 {
+		f.mu.Lock()
+		close(f.changed)
+		f.changed = make(chan struct{})
+		f.mu.Unlock()
+	}
+}
+
+// newer reports whether o is news after old. A deletion may bear the version of
+// the object's last change.
+func newer(o, old object.Object) bool {
+	if o.Deleted() && !old.Deleted() {
+		return o.Version() >= old.Version()
+	}
+	return o.Version() > old.Version()
+}
+
+// Run follows the kind until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstPause, lastPause
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		err := f.pull(ctx, wait)
+		switch {
+		case err == nil:
+			b.Reset()
+			wait = f.wait()
+			continue
+		case errors.Is(err, object.ErrExpired):
+			f.relist()
+			wait = 0
+			continue
+		}
+		wait = min(wait, probeTime)
+		sleep(ctx, b.NextBackOff())
+	}
+}
+
+// wait returns how long the next watch may take: short while an object is
+// missing, so that its time is noticed.
+func (f *Feed) wait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.missing) > 0 {
+		return f.Absent / 4
+	}
+	return f.Silent
+}
+
+func (f *Feed) relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = 0
+}
+
+// pull lists the kind if it is to be listed, and watches it otherwise.
+func (f *Feed) pull(ctx context.Context, wait time.Duration) error {
+	f.mu.Lock()
+	after := f.seen
+	f.mu.Unlock()
+	if after == 0 {
+		wait = 0
+	}
+	call, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	page, err := f.store.Watch(call, f.kind, after, wait)
+	f.note(err, ctx.Err() != nil)
+	if err != nil {
+		return err
+	}
+	f.offer("platform", page.Objects())
+	if after == 0 {
+		f.compare(page, time.Now())
+	}
+	f.expire(time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = page.Version()
+	f.listed = true
+	return nil
+}
+
+// note logs when the platform is lost and when it is back.
+func (f *Feed) note(err error, ending bool) {
+	if errors.Is(err, object.ErrExpired) || ending {
+		return
+	}
+	f.mu.Lock()
+	was := f.away
+	f.away = err != nil
+	seen := f.seen
+	f.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		f.logger.WithError(err).WithField("kind", f.kind).WithField("version", seen).Warn("feed: platform lost")
+	case err == nil && was:
+		f.logger.WithField("kind", f.kind).WithField("version", seen).Info("feed: platform is back")
+	}
+}
+
+// compare notes the objects that a list lacks.
+func (f *Feed) compare(page object.Page, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	there := map[string]bool{}
+	for _, o := range page.Objects() {
+		there[o.Name()] = true
+	}
+	for name, o := range f.objects {
+		if _, noted := f.missing[name]; !noted && !there[name] && !o.Deleted() && o.Version() <= page.Version() {
+			f.missing[name] = now
+		}
+	}
+}
+
+// expire deletes what has been missing for long enough.
+func (f *Feed) expire(now time.Time) {
+	var gone []object.Object
+	f.mu.Lock()
+	for name, since := range f.missing {
+		if now.Sub(since) >= f.Absent {
+			gone = append(gone, object.Tombstone(f.kind, name, f.objects[name].Version()))
+		}
+	}
+	f.mu.Unlock()
+	f.offer("platform", gone)
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/fleet/front/node.go
@@ -0,0 +1,257 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/coord/member"
+	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/peers"
+	"jacinthladder.dev/internal/forward/conns"
+	"jacinthladder.dev/internal/forward/live"
+	"jacinthladder.dev/internal/forward/purse"
+	"jacinthladder.dev/internal/forward/serve"
+)
+
+const (
+	// firstTime is how long a start waits for the first configuration, whose
+	// limits the callers' surface takes over.
+	firstTime = 1500 * time.Millisecond
+	// headTime and callerIdle bound callers while no configuration does.
+	headTime   = 5 * time.Second
+	callerIdle = 60 * time.Second
+	// headMost is the largest header that is read at all; the configuration's
+	// own limit is checked after that.
+	headMost = 256 << 10
+	// leadTime is how long an instance that leaves takes new connections: the
+	// balancer asks once a second and turns away after two misses.
+	leadTime = 2500 * time.Millisecond
+	// closeTime is kept back from the grace of a planned stop, to return shares.
+	closeTime = 900 * time.Millisecond
+	// sweepTime is how often idle connections are looked through.
+	sweepTime = 500 * time.Millisecond
+	// syncTime is how often budgets that could not be paid in are tried again.
+	syncTime = 700 * time.Millisecond
+)
+
+// Parts are what a Node is made of.
+type Parts struct {
+	Settings  *setup.Settings
+	Listeners *Listeners
+	Logger    log.Interface
+	Metrics   *metrics.Set
+	Client    *http.Client
+	Rules     *Rules
+	Feeds     *Feeds
+	Board     *live.Board
+	Holder    *escrow.Holder
+	Purse     *purse.Purse
+	Table     *member.Table
+	Peers     *peers.Client
+	Server    *peers.Server
+	Beater    *peers.Beater
+	Pool      *conns.Pool
+	Forwarder *serve.Server
+}
+
+// Node is one instance. Make one with New.
+type Node struct {
+	Parts
+	leaving atomic.Bool
+	broken  chan error
+	serving sync.WaitGroup
+	callers atomic.Pointer[http.Server]
+}
+
+// New returns a node that does not serve yet.
+func New(p Parts) *Node {
+	return &Node{Parts: p, broken: make(chan error, 4)}
+}
+
+// Run serves until ctx ends, then stops as planned. Once now ends too, the stop
+// no longer waits for open requests.
+func (n *Node) Run(ctx, now context.Context) error {
+	loops, endLoops := context.WithCancel(context.Background())
+	defer endLoops()
+	var work sync.WaitGroup
+	for _, loop := range []func(context.Context){
+		n.Feeds.routes.Run, n.Feeds.endpoints.Run, n.Holder.Run, n.Beater.Run, n.pay, n.sweep,
+	} {
+		work.Go(func() { loop(loops) })
+	}
+	ready := n.listen(n.Listeners.ready, &http.Server{Handler: http.HandlerFunc(n.ready)})
+	own := n.listen(n.Listeners.peers, &http.Server{Handler: n.Server.Handler(), ReadHeaderTimeout: headTime})
+	admin := n.listen(n.Listeners.admin, &http.Server{Handler: http.HandlerFunc(n.page), ReadHeaderTimeout: headTime})
+	n.first(ctx)
+	callers := n.listen(n.Listeners.callers, n.surface())
+	n.Logger.WithFields(log.Fields{
+		"instance": n.Settings.Name(), "zone": n.Settings.Zone(), "process": n.Holder.Process(), "callers": n.Settings.Listen(),
+	}).Info("front: started")
+	var failed error
+	select {
+	case <-ctx.Done():
+	case failed = <-n.broken:
+	}
+	err := n.stop(now, callers, func() {
+		endLoops()
+		work.Wait()
+	})
+	for _, s := range []*http.Server{ready, own, admin} {
+		err = errors.CombineErrors(err, s.Close())
+	}
+	n.serving.Wait()
+	n.Peers.Close()
+	n.Client.CloseIdleConnections()
+	return errors.CombineErrors(failed, err)
+}
+
+// first waits for the first configuration.
+func (n *Node) first(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstTime)
+	defer cancel()
+	for n.Rules.Table() == nil && ctx.Err() == nil {
+		changed := n.Feeds.routes.Changed()
+		if n.Rules.Table() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// surface returns the server for callers, with the limits in force.
+func (n *Node) surface() *http.Server {
+	s := &http.Server{Handler: n.Forwarder, ReadHeaderTimeout: headTime, IdleTimeout: callerIdle, MaxHeaderBytes: headMost}
+	if t := n.Rules.Table(); t != nil {
+		if l := t.Limits(); l.Head > 0 && l.Idle > 0 {
+			s.ReadHeaderTimeout, s.IdleTimeout = l.Head, l.Idle
+		}
+	}
+	return s
+}
+
+func (n *Node) listen(l net.Listener, s *http.Server) *http.Server {
+	s.ErrorLog = quiet()
+	n.serving.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.broken <- errors.Wrap(err, "front: serve")
+		}
+	})
+	return s
+}
+
+// Ready returns why the instance should get no requests, empty if it should.
+func (n *Node) Ready() string {
+	switch {
+	case n.leaving.Load():
+		return "leaving"
+	case n.Rules.Table() == nil:
+		return "no configuration yet"
+	case n.Board.Size() == 0:
+		return "no endpoints known yet"
+	default:
+		return ""
+	}
+}
+
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if reason := n.Ready(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// page shows the metrics.
+func (n *Node) page(w http.ResponseWriter, _ *http.Request) { n.Metrics.WritePrometheus(w) }
+
+// pay keeps what is paid into budgets in line with the configuration.
+func (n *Node) pay(ctx context.Context) {
+	paid := map[string]int64{}
+	for ctx.Err() == nil {
+		changed := n.Feeds.routes.Changed()
+		var again <-chan time.Time
+		if t := n.Rules.Table(); t != nil {
+			if err := n.Purse.Sync(ctx, t, paid); err != nil && ctx.Err() == nil {
+				n.Logger.WithError(err).WithField("version", t.Version()).Warn("budget: can't be paid in yet")
+				again = time.After(syncTime)
+			}
+		}
+		select {
+		case <-changed:
+		case <-again:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// sweep closes connections to endpoints that have been idle for too long.
+func (n *Node) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			n.Pool.Sweep(now)
+		}
+	}
+}
+
+// stop ends the instance in order: it says that it leaves, takes what still
+// comes until the balancer has turned away, lets open requests end, and returns
+// its shares.
+func (n *Node) stop(now context.Context, callers *http.Server, endLoops func()) error {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.Table.Leave()
+	n.Logger.WithField("open", n.Forwarder.Open()).Info("front: leaving")
+	rest(now, leadTime)
+	grace := time.Duration(n.Settings.Forward().Grace) - closeTime
+	drain, cancel := context.WithDeadline(now, began.Add(grace))
+	defer cancel()
+	err := n.drain(drain, callers)
+	endLoops()
+	final, cancel := context.WithTimeout(context.Background(), closeTime/2)
+	defer cancel()
+	err = errors.CombineErrors(err, n.Holder.Close(final))
+	n.Pool.Close()
+	l := n.Logger.WithField("ms", time.Since(began).Milliseconds())
+	if err != nil {
+		l.WithError(err).Warn("front: stopped, not all is in order")
+		return nil
+	}
+	l.Info("front: stopped")
+	return nil
+}
+
+// drain takes no new connection and waits for open requests.
+func (n *Node) drain(ctx context.Context, callers *http.Server) error {
+	callers.SetKeepAlivesEnabled(false)
+	if err := callers.Shutdown(ctx); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "front: requests were cut off"), callers.Close())
+	}
+	n.Forwarder.Wait()
+	return nil
+}
+
+// rest waits for d, or until ctx ends.
+func rest(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/fleet/front/parts.go
@@ -0,0 +1,282 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/google/wire"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/coord/member"
+	"jacinthladder.dev/coord/retry"
+	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/books"
+	"jacinthladder.dev/internal/fleet/feed"
+	"jacinthladder.dev/internal/fleet/node"
+	"jacinthladder.dev/internal/fleet/peers"
+	peerwire "jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/forward/conns"
+	"jacinthladder.dev/internal/forward/live"
+	"jacinthladder.dev/internal/forward/purse"
+	"jacinthladder.dev/internal/forward/route"
+	"jacinthladder.dev/internal/forward/serve"
+	"jacinthladder.dev/internal/plat/object"
+	"jacinthladder.dev/internal/plat/roster"
+	"jacinthladder.dev/platform"
+)
+
+// Set is the providers of all parts of a Node, for the injectors.
+var Set = wire.NewSet(
+	node.NewProcess, Listen, metrics.NewSet, NewClient, NewStore, NewTable, node.NewClient, NewBoard, NewRules,
+	NewFeeds, NewHolder, NewPurse, NewRetries, NewServer, NewBeater, NewPool, NewForwarder,
+	wire.Struct(new(Parts), "*"), New,
+)
+
+const (
+	// dialTime bounds the opening of a connection to the platform.
+	dialTime = time.Second
+	// idleTime is how long an unused connection to the platform is kept.
+	idleTime = 30 * time.Second
+	// absentTime is how long an endpoint must be missing from the platform's
+	// lists: entries that lapsed in an outage come back within two seconds.
+	absentTime = 2500 * time.Millisecond
+	// silentTime is the longest that a watch may bring nothing before it is made
+	// anew, in case its connection fell silent.
+	silentTime = 5 * time.Second
+)
+
+// Listeners are the open addresses of an instance.
+type Listeners struct{ callers, ready, peers, admin net.Listener }
+
+// Listen opens the addresses of the settings.
+func Listen(s *setup.Settings) (*Listeners, error) {
+	var open []net.Listener
+	for _, a := range []string{s.Listen(), s.Forward().Ready, s.Peer(), s.Admin()} {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, o := range open {
+				err = errors.CombineErrors(err, o.Close())
+			}
+			return nil, errors.Wrap(err, "front: listen")
+		}
+		open = append(open, l)
+	}
+	return &Listeners{callers: open[0], ready: open[1], peers: open[2], admin: open[3]}, nil
+}
+
+// NewClient returns the client for the platform's store.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTime, DisableCompression: true,
+	}}
+}
+
+// NewStore returns the platform's store, with its calls counted. After a call
+// without an answer the idle connections are dropped: they may have fallen silent
+// as well.
+func NewStore(s *setup.Settings, client *http.Client, set *metrics.Set, logger log.Interface) *object.Store {
+	store := platform.Store(s.Platform(), client, func(err error) {
+		logger.WithError(err).Warn("store: dropped what can't be read")
+	})
+	return object.Observed(store, func(verb, kind string, err error) {
+		set.GetOrCreateCounter(callName(verb, kind, object.Outcome(err))).Inc()
+		if errors.Is(err, object.ErrUnknown) {
+			client.CloseIdleConnections()
+		}
+	})
+}
+
+func callName(verb, kind, outcome string) string {
+	return `jacinthladder_platform_calls_total{verb="` + verb + `",kind="` + kind + `",result="` + outcome + `"}`
+}
+
+// NewTable returns a membership table that knows only this instance.
+func NewTable(p node.Process, s *setup.Settings) *member.Table {
+	return member.NewTable(member.Member{Process: string(p), Zone: s.Zone(), Address: s.Peer()}, s.Beat())
+}
+
+// NewBoard returns a board that knows no endpoint.
+func NewBoard(s *setup.Settings) *live.Board { return live.NewBoard(s.Zone()) }
+
+// Rules holds the configuration in force.
+type Rules struct {
+	table atomic.Pointer[route.Table]
+}
+
+// NewRules returns rules without a configuration.
+func NewRules() *Rules { return &Rules{} }
+
+// Table returns the configuration in force, nil while there is none.
+func (r *Rules) Table() *route.Table { return r.table.Load() }
+
+// Feeds are what an instance follows on the platform.
+type Feeds struct{ routes, endpoints *feed.Feed }
+
+// NewFeeds returns feeds that put what they hear in force.
+func NewFeeds(store *object.Store, r *Rules, b *live.Board, logger log.Interface) *Feeds {
+	f := &Feeds{
+		routes:    feed.New(platform.RoutesKind, store, logger),
+		endpoints: feed.New(platform.EndpointsKind, store, logger),
+	}
+	f.routes.Silent, f.endpoints.Silent = silentTime, silentTime
+	f.routes.Apply = func(source string, o object.Object) { applyRoutes(source, o, r, b, logger) }
+	f.endpoints.Absent = absentTime
+	f.endpoints.Apply = func(source string, o object.Object) { applyEndpoint(source, o, b, logger) }
+	return f
+}
+
+// applyRoutes puts a version of the configuration in force.
+func applyRoutes(source string, o object.Object, r *Rules, b *live.Board, logger log.Interface) {
+	if o.Name() != platform.ConfigName || o.Deleted() {
+		return
+	}
+	l := logger.WithFields(log.Fields{"source": source, "rev": o.Version()})
+	t, err := platform.DecodeConfig(o)
+	if err != nil {
+		l.WithError(err).Error("config: refused")
+		return
+	}
+	if old := r.Table(); old != nil && old.Version() > t.Version() {
+		l.WithField("version", t.Version()).WithField("inforce", old.Version()).Warn("config: older than in force")
+		return
+	}
+	for _, s := range t.Services() {
+		if s.Engine != nil {
+			b.Memory(s.Name, s.Engine.Memory)
+		}
+	}
+	r.table.Store(t)
+	l.WithField("version", t.Version()).Info("config: in force")
+}
+
+// applyEndpoint takes in an entry of the registry. One that can't be read names
+// no endpoint.
+func applyEndpoint(source string, o object.Object, b *live.Board, logger log.Interface) {
+	l := logger.WithFields(log.Fields{"source": source, "rev": o.Version(), "endpoint": o.Name()})
+	if o.Deleted() {
+		if b.Remove(o.Name()) {
+			l.Info("endpoint: gone")
+		}
+		return
+	}
+	e, err := platform.DecodeReplica(o)
+	if err != nil {
+		b.Remove(o.Name())
+		l.WithError(err).Warn("endpoint: dropped an entry")
+		return
+	}
+	if b.Set(e, time.Now()) {
+		l.WithFields(log.Fields{"service": e.Service, "zone": e.Zone, "leaving": e.Leaving}).Info("endpoint: changed")
+	}
+}
+
+// NewHolder returns an escrow holder without shares.
+func NewHolder(p node.Process, store *object.Store, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
+	return escrow.NewHolder(string(p), books.Platform(store), c.Escrow(), func(err error) {
+		set.GetOrCreateCounter("jacinthladder_broken_rules_total").Inc()
+		logger.WithError(err).Error("escrow: a rule would be broken, the share refuses from now on")
+	})
+}
+
+// NewPurse returns what reserves tokens.
+func NewPurse(s *setup.Settings, h *escrow.Holder, store *object.Store) *purse.Purse {
+	return &purse.Purse{
+		Holder: h, Endure: time.Duration(s.Forward().Endure),
+		Pay: func(ctx context.Context, budget string, total int64) error {
+			return books.PayUp(ctx, store, budget, total)
+		},
+	}
+}
+
+// leastFleet is the size that a fleet is taken to have at least: what an instance
+// that is cut off can't see.
+const leastFleet = 6
+
+// Retries bounds the retries of each service, this instance's part of the
+// fleet's.
+type Retries struct {
+	settings *setup.Forward
+	peers    func() int
+
+	mu      sync.Mutex
+	fleet   int // the largest size seen
+	windows map[string]*retry.Window
+}
+
+// NewRetries returns bounds that have counted nothing.
+func NewRetries(s *setup.Settings, t *member.Table) *Retries {
+	return &Retries{settings: s.Forward(), peers: t.Others, fleet: leastFleet, windows: map[string]*retry.Window{}}
+}
+
+// Window returns the bound on the retries of a service.
+func (r *Retries) Window(service string) *retry.Window {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet = max(r.fleet, r.peers()+1)
+	w := r.windows[service]
+	if w == nil {
+		w = &retry.Window{
+			Ratio: r.settings.Ratio * retryShare, Extra: r.settings.Extra * retryShare / float64(r.fleet),
+			Span: time.Duration(r.settings.Window),
+		}
+		r.windows[service] = w
+	}
+	return w
+}
+
+// retryShare is the part of the allowed retries that is used: requests that a
+// killed instance has counted are lost to the others.
+const retryShare = 0.8
+
+// NewServer returns what answers peers.
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, b *live.Board) *peers.Server {
+	return &peers.Server{
+		Table: t, Holder: h,
+		Config: peers.Config{
+			Changed: f.routes.Changed, Complete: f.routes.Newest, Since: f.routes.Since, Catch: f.routes.Catch,
+		},
+		Own: func() *peerwire.BeatNote {
+			n := peers.Note(t, f.routes.Newest())
+			for _, id := range b.Leaving() {
+				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: id})
+			}
+			return n
+		},
+		News: func(n *peerwire.BeatNote) {
+			for _, l := range n.GetLeaving() {
+				b.Leave(l.GetEndpoint())
+			}
+		},
+	}
+}
+
+// NewBeater returns what sends heartbeats, first to the seeds.
+func NewBeater(c *peers.Client, sv *peers.Server, s *setup.Settings, logger log.Interface) *peers.Beater {
+	seeds := &roster.List{Read: func(context.Context) ([]roster.Entry, error) {
+		var entries []roster.Entry
+		for _, a := range s.Forward().Seeds {
+			entries = append(entries, roster.Entry{Address: a})
+		}
+		return entries, nil
+	}}
+	return peers.NewBeater(c, sv, seeds, s.Beat(), logger)
+}
+
+// NewPool returns a pool without connections.
+func NewPool() *conns.Pool { return &conns.Pool{} }
+
+// NewForwarder returns what serves forwarded requests.
+func NewForwarder(r *Rules, b *live.Board, p *conns.Pool, pu *purse.Purse, re *Retries, set *metrics.Set, logger log.Interface) *serve.Server {
+	return &serve.Server{
+		Table: r.Table, Board: b, Pool: p, Purse: pu, Retries: re.Window, Dialect: platform.Dialect(),
+		Meter: serve.NewMeter(set), Logger: logger,
+	}
+}
--- a/internal/fleet/node/parts.go
+++ b/internal/fleet/node/parts.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"github.com/google/wire"
 
 	"jacinthladder.dev/coord/escrow"
@@ -65,43 +63,9 @@
 
 // NewStore returns the platform of the settings, with its calls counted.
 func NewStore(s *setup.Settings, m *meter.Meter) *object.Store {
-	return counted(object.Dial(s.Platform(), platformClient(s)), m)
-}
-
-// counted counts the calls of a store.
-func counted(s *object.Store, m *meter.Meter) *object.Store {
-	return &object.Store{
-		Get: func(ctx context.Context, kind, name string) (object.Object, error) {
-			o, err := s.Get(ctx, kind, name)
-			m.Platform("get", result(err))
-			return o, err
-		},
-		Put: func(ctx context.Context, kind, name string, version int64, value []byte) (int64, error) {
-			v, err := s.Put(ctx, kind, name, version, value)
-			m.Platform("put", result(err))
-			return v, err
-		},
-		Watch: func(ctx context.Context, kind string, after int64, wait time.Duration) (object.Page, error) {
-			p, err := s.Watch(ctx, kind, after, wait)
-			m.Platform("watch", result(err))
-			return p, err
-		},
-	}
-}
-
-func result(err error) string {
-	switch {
-	case err == nil:
-		return "ok"
-	case errors.Is(err, object.ErrConflict):
-		return "conflict"
-	case errors.Is(err, object.ErrMissing):
-		return "missing"
-	case errors.Is(err, object.ErrRefused):
-		return "refused"
-	default:
-		return "unknown"
-	}
+	return object.Observed(object.Dial(s.Platform(), platformClient(s)), func(verb, _ string, err error) {
+		m.Platform(verb, object.Outcome(err))
+	})
 }
 
 // NewList returns the platform's instance list.
@@ -144,7 +108,8 @@
 // NewServer returns what answers peers.
 func NewServer(t *member.Table, h *escrow.Holder, k *config.Keeper, b *choose.Board, l *limit.Limits) *peers.Server {
 	return &peers.Server{
-		Table: t, Holder: h, Keeper: k,
+		Table: t, Holder: h,
+		Config: peers.Config{Changed: k.Changed, Complete: k.Complete, Since: k.Since, Catch: k.Catch},
 		Own: func() *peerwire.BeatNote {
 			n := peers.Note(t, k.Complete())
 			for name, left := range b.Leaving() {
--- a/internal/fleet/peers/beat.go
+++ b/internal/fleet/peers/beat.go
@@ -59,7 +59,7 @@
 	t := time.NewTicker(b.Interval)
 	defer t.Stop()
 	for {
-		changed := b.Server.Keeper.Changed()
+		changed := b.Server.Config.Changed()
 		b.Server.Table.Beat()
 		b.list(ctx)
 		b.Round(ctx)
@@ -156,7 +156,7 @@
 
 // catch fetches configuration from a peer that has more.
 func (b *Beater) catch(ctx context.Context, stub wire.Peers, n *wire.BeatNote) error {
-	k := b.Server.Keeper
+	k := b.Server.Config
 	for n.GetConfig() > k.Complete() {
 		before := k.Complete()
 		answer, err := stub.Docs(ctx, &wire.DocsAsk{After: before})
--- a/internal/fleet/peers/server.go
+++ b/internal/fleet/peers/server.go
@@ -10,8 +10,8 @@
 
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/coord/member"
-	"jacinthladder.dev/internal/fleet/config"
 	"jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/plat/object"
 )
 
 const (
@@ -21,11 +21,24 @@
 	maxWait = 30 * time.Second
 )
 
+// Config is the configuration that peers pass on to one another.
+type Config struct {
+	// Changed returns a channel that is closed at the next change.
+	Changed func() <-chan struct{}
+	// Complete returns the version up to which all configuration is known here.
+	Complete func() int64
+	// Since returns what is above a version, in order, and the version up to
+	// which that is complete.
+	Since func(after int64) ([]object.Object, int64)
+	// Catch takes in what a peer had above a version.
+	Catch func(peer string, objects []object.Object, complete int64)
+}
+
 // Server answers what peers ask of this instance.
 type Server struct {
 	Table  *member.Table
 	Holder *escrow.Holder
-	Keeper *config.Keeper
+	Config Config
 	// News takes in a heartbeat's news of endpoints and limits; Own returns the
 	// heartbeat that this instance sends.
 	News func(n *wire.BeatNote)
@@ -44,7 +57,7 @@
 // Beat exchanges heartbeats.
 func (s *Server) Beat(_ context.Context, n *wire.BeatNote) (*wire.BeatNote, error) {
 	s.Take(n)
-	if s.behind != nil && n.GetConfig() > s.Keeper.Complete() {
+	if s.behind != nil && n.GetConfig() > s.Config.Complete() {
 		s.behind(n.GetSelf().GetAddress())
 	}
 	return s.Own(), nil
@@ -66,7 +79,7 @@
 
 // Docs returns the configuration that a peer lacks.
 func (s *Server) Docs(_ context.Context, n *wire.DocsAsk) (*wire.DocsAnswer, error) {
-	objects, complete := s.Keeper.Since(n.GetAfter())
+	objects, complete := s.Config.Since(n.GetAfter())
 	answer := &wire.DocsAnswer{Complete: complete}
 	size := 0
 	for _, o := range objects {
--- /dev/null
+++ b/internal/forward/place/place.go
@@ -0,0 +1,78 @@
+package place
+
+import "time"
+
+const (
+	// readTime is how long an engine takes to read one prompt token.
+	readTime = 15 * time.Microsecond
+	// stepTime is by how much one running request slows the others at an engine.
+	stepTime = 150 * time.Microsecond
+	// farTime is what sending one kilobyte to another zone weighs.
+	farTime = 3 * time.Millisecond
+	// farLeast is what leaving the zone weighs whatever the size.
+	farLeast = 10 * time.Millisecond
+	// failTime is what a share of failures of 1 weighs.
+	failTime = 2 * time.Second
+	// fillTime is what a plain endpoint that is full weighs.
+	fillTime = 40 * time.Millisecond
+	// coldTime is what an endpoint that has just started weighs.
+	coldTime = 100 * time.Millisecond
+)
+
+// Need is what a request asks of an endpoint.
+type Need struct {
+	Prompt int64 // tokens to read, 0 for plain services
+	Bytes  int   // that go to the endpoint and back, roughly
+}
+
+// Candidate is an endpoint as this instance knows it.
+type Candidate struct {
+	Slots   int
+	Running int   // requests of this instance
+	Waiting int64 // prompt tokens of this instance's requests yet to be read
+	Cached  int64 // prompt tokens of this request that the engine still has
+	Fails   float64
+	Far     bool // in another zone
+	Cold    bool // started not long ago
+	Ejected bool // failed so lately that it gets nothing if others can
+}
+
+// Delay returns what a candidate weighs for a need; the least is best.
+func Delay(n Need, c Candidate) time.Duration {
+	d := time.Duration(c.Fails * float64(failTime))
+	if n.Prompt > 0 {
+		d += time.Duration(c.Waiting+max(n.Prompt-c.Cached, 0)) * readTime
+		d += time.Duration(c.Running) * stepTime
+	} else if c.Slots > 0 {
+		d += time.Duration(float64(fillTime) * float64(c.Running) / float64(c.Slots))
+	}
+	if c.Far {
+		d += farLeast + time.Duration(n.Bytes)*farTime/1024
+	}
+	if c.Cold {
+		d += coldTime
+	}
+	return d
+}
+
+// Choose returns the index of the best candidate, -1 if there is none. An
+// ejected one is taken only where there is no other. Start is where ties begin
+// to be looked at.
+func Choose(n Need, all []Candidate, start int) int {
+	best, least := -1, time.Duration(0)
+	for i := range all {
+		at := (i + start) % len(all)
+		c := all[at]
+		if c.Slots > 0 && c.Running >= c.Slots {
+			continue
+		}
+		d := Delay(n, c)
+		switch {
+		case best < 0, all[best].Ejected && !c.Ejected:
+		case c.Ejected && !all[best].Ejected, d >= least:
+			continue
+		}
+		best, least = at, d
+	}
+	return best
+}
--- /dev/null
+++ b/internal/forward/purse/purse.go
@@ -0,0 +1,81 @@
+// Package purse reserves prepaid tokens for forwarded requests.
+//
+// The idea. Each metered client account has one budget of package escrow, in
+// tokens, named after the account. What the configuration says is prepaid is the
+// least that the budget counts as paid in; it only rises. A request reserves the
+// most that it can consume before it leaves, and settles what it did consume.
+package purse
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/internal/forward/route"
+)
+
+const (
+	// startShare is the part of a budget that one instance draws before it knows
+	// the demand.
+	startShare = 0.04
+	// floorShare is the part of a budget below which an instance's share counts
+	// as nearly nothing.
+	floorShare = 0.003
+)
+
+// Purse reserves tokens. Fill in the fields before use.
+type Purse struct {
+	// Holder keeps this instance's shares.
+	Holder *escrow.Holder
+	// Endure is how long a share should last when the platform is out of reach.
+	Endure time.Duration
+	// Pay makes a budget count at least total as paid in.
+	Pay func(ctx context.Context, budget string, total int64) error
+}
+
+// Policy returns how the share of an account's budget is kept.
+func (p *Purse) Policy(a *route.Account) escrow.Policy {
+	return escrow.Policy{
+		Endure: p.Endure,
+		Start:  int64(float64(a.Prepaid) * startShare),
+		Floor:  int64(float64(a.Prepaid) * floorShare),
+	}
+}
+
+// Reserve sets amount aside for a request of an account. It fails with an error
+// of package escrow.
+func (p *Purse) Reserve(ctx context.Context, a *route.Account, amount int64, wait time.Duration) (escrow.Hold, error) {
+	n := escrow.Need{Amount: amount, Rank: -a.Rank, Wait: wait}
+	return p.Holder.Reserve(ctx, a.Name, p.Policy(a), n)
+}
+
+// Sync pays in what a configuration says is prepaid, and draws the shares of
+// accounts that this instance has not served yet. Paid holds what is known to be
+// paid in; the caller keeps it from one call to the next.
+func (p *Purse) Sync(ctx context.Context, t *route.Table, paid map[string]int64) error {
+	policies := map[string]escrow.Policy{}
+	var failed error
+	for _, a := range t.Accounts() {
+		if !a.Metered {
+			continue
+		}
+		policies[a.Name] = p.Policy(a)
+		if known, ok := paid[a.Name]; ok && known >= a.Prepaid {
+			continue
+		}
+		if err := p.Pay(ctx, a.Name, a.Prepaid); err != nil {
+			failed = errors.CombineErrors(failed, errors.Wrapf(err, "purse: budget %s", a.Name))
+			continue
+		}
+		paid[a.Name] = a.Prepaid
+	}
+	p.Holder.Configure(policies)
+	for budget, policy := range policies {
+		if _, ok := paid[budget]; ok {
+			p.Holder.Share(budget, policy)
+		}
+	}
+	return failed
+}
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -17,6 +17,8 @@
 	ErrRefused = errors.New("object: refused by the platform")
 	// ErrUnknown means that no answer came: a write may have taken effect.
 	ErrUnknown = errors.New("object: no answer from the platform")
+	// ErrExpired means that the history to watch from is gone: list again.
+	ErrExpired = errors.New("object: history is gone")
 )
 
 // Object is one stored value.
@@ -25,6 +27,7 @@
 	name    string
 	value   []byte
 	version int64
+	deleted bool
 }
 
 // New returns an object as a platform would hold it.
@@ -32,6 +35,14 @@
 	return Object{kind: kind, name: name, version: version, value: value}
 }
 
+// Tombstone returns the deletion of an object at a version.
+func Tombstone(kind, name string, version int64) Object {
+	return Object{kind: kind, name: name, version: version, deleted: true}
+}
+
+// Deleted reports whether the object is gone since its version.
+func (o Object) Deleted() bool { return o.deleted }
+
 // Kind returns the object's kind.
 func (o Object) Kind() string { return o.kind }
 
@@ -70,6 +81,7 @@
 	// that must not exist, and returns the new version or ErrConflict.
 	Put func(ctx context.Context, kind, name string, version int64, value []byte) (int64, error)
 	// Watch waits up to wait for objects of a kind with a version above after.
-	// A wait of 0 lists at once.
+	// A wait of 0 lists at once. Platforms that keep a bounded history fail with
+	// ErrExpired, and send a Tombstone for what was deleted.
 	Watch func(ctx context.Context, kind string, after int64, wait time.Duration) (Page, error)
 }
--- /dev/null
+++ b/internal/plat/object/observe.go
@@ -0,0 +1,47 @@
+package object
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Observed returns a store that tells seen of each call and how it ended.
+func Observed(s *Store, seen func(verb, kind string, err error)) *Store {
+	return &Store{
+		Get: func(ctx context.Context, kind, name string) (Object, error) {
+			o, err := s.Get(ctx, kind, name)
+			seen("get", kind, err)
+			return o, err
+		},
+		Put: func(ctx context.Context, kind, name string, version int64, value []byte) (int64, error) {
+			v, err := s.Put(ctx, kind, name, version, value)
+			seen("put", kind, err)
+			return v, err
+		},
+		Watch: func(ctx context.Context, kind string, after int64, wait time.Duration) (Page, error) {
+			p, err := s.Watch(ctx, kind, after, wait)
+			seen("watch", kind, err)
+			return p, err
+		},
+	}
+}
+
+// Outcome returns a short word for how a call ended, for metrics.
+func Outcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
+	case errors.Is(err, ErrMissing):
+		return "missing"
+	case errors.Is(err, ErrRefused):
+		return "refused"
+	case errors.Is(err, ErrExpired):
+		return "expired"
+	default:
+		return "unknown"
+	}
+}
