--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -70,7 +70,6 @@
 	leaving atomic.Bool
 	broken  chan error
 	serving sync.WaitGroup
-	callers atomic.Pointer[http.Server]
 }
 
 // New returns a node that does not serve yet.
