--- a/coord/escrow/bench_test.go
+++ b/coord/escrow/bench_test.go
@@ -73,7 +73,7 @@
 				b.Fatal(err)
 			}
 			for i := range holders {
-				book.draw(fmt.Sprintf("entry-%d/0123456789ab/1", i), 1_000_000, 0)
+				book.draw(fmt.Sprintf("entry-%d/0123456789ab/1", i), 1_000_000, 0, fairness{})
 			}
 			data, err := book.MarshalJSON()
 			if err != nil {
@@ -84,7 +84,7 @@
 				if err := read.UnmarshalJSON(data); err != nil {
 					b.Fatal(err)
 				}
-				read.draw("entry-1/0123456789ab/1", 1, 1)
+				read.draw("entry-1/0123456789ab/1", 1, 1, fairness{})
 				if _, err := read.MarshalJSON(); err != nil {
 					b.Fatal(err)
 				}
--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -30,6 +30,9 @@
 	Open State = "open"
 	// Sealed rows have been won back; the holder may spend up to the bound.
 	Sealed State = "sealed"
+	// Lost rows are of a process that its instance's next one has replaced. All
+	// that they had counts as spent.
+	Lost State = "lost"
 	// Closed rows are settled but for transfers that peers have yet to credit.
 	Closed State = "closed"
 )
@@ -51,6 +54,7 @@
 	Alone    int64            `json:"alone,omitempty"`
 	Bound    int64            `json:"bound,omitempty"`
 	Wish     int64            `json:"wish,omitempty"`
+	Rate     int64            `json:"rate,omitempty"` // micro-units per second, rounded
 	At       int64            `json:"at"` // the book's count of writes at the last one of this row
 }
 
@@ -255,25 +259,49 @@
 	return r
 }
 
-// draw grants the share id up to want from what is free, at least need as far
-// as that goes. Beyond need no share comes to hold more than an equal part of
-// what is left of the budget. It returns what it granted.
-func (b *Book) draw(id string, need, want int64) int64 {
-	free := b.Free()
-	left := free
-	open := int64(0)
-	for _, r := range b.rows {
-		if r.raw.State == Open {
-			open++
-			left += max(r.Idle(), 0)
+// fairness bounds what a share draws ahead of need. The zero value lets a share
+// come to hold an equal part of what is left, among all that are open.
+type fairness struct {
+	part   float64              // of what is left for all shares, dealt by demand; 0 for equal parts of all
+	counts func(id string) bool // whether a row is of a holder that lives; nil counts all
+}
+
+// smallRate is the demand that a share counts with at least, as a part of the
+// mean of all.
+const smallRate = 0.1
+
+// most returns what the share id may hold ahead of need.
+func (f fairness) most(b *Book, id string) int64 {
+	left, open := b.Free(), int64(0)
+	var rates, rate float64
+	for other, r := range b.rows {
+		if r.raw.State != Open || other != id && f.counts != nil && !f.counts(other) {
+			continue
 		}
+		open++
+		left += max(r.Idle(), 0)
+		rates += float64(r.raw.Rate)
 	}
-	r := b.open(id)
-	if r.raw.Granted == 0 {
+	if r := b.rows[id]; r != nil {
+		rate = float64(r.raw.Rate)
+	}
+	if r := b.rows[id]; r == nil || r.raw.Granted == 0 {
 		open++
 	}
-	fair := left/open - max(r.Idle(), 0)
-	grant := min(max(need, min(want, fair)), free, math.MaxInt64/2-r.raw.Granted)
+	if f.part == 0 || rates == 0 {
+		return left / open
+	}
+	least := smallRate * rates / float64(open)
+	return int64(f.part * float64(left) * (rate + least) / (rates + least*float64(open)))
+}
+
+// draw grants the share id up to want from what is free, at least need as far
+// as that goes. Beyond need no share comes to hold more than is fair. It returns
+// what it granted.
+func (b *Book) draw(id string, need, want int64, f fairness) int64 {
+	fair := f.most(b, id)
+	r := b.open(id)
+	grant := min(max(need, min(want, fair-max(r.Idle(), 0))), b.Free(), math.MaxInt64/2-r.raw.Granted)
 	if grant <= 0 {
 		return 0
 	}
@@ -281,6 +309,20 @@
 	return grant
 }
 
+// bury marks the rows that earlier processes of the same instance left as lost:
+// nobody can tell what they spent. Rows with witnesses are left to be won back.
+func (b *Book) bury(process string) {
+	for id, r := range b.rows {
+		owner := ProcessOf(id)
+		if r.raw.State != Open || owner == process || instanceOf(owner) != instanceOf(process) || len(r.raw.Guards) > 0 {
+			continue
+		}
+		r.raw.State = Lost
+		b.touch(r)
+		b.changed = true
+	}
+}
+
 // seal wins back what the share id can't have used, given the most that can
 // have flowed out of it, and returns the amount.
 func (b *Book) seal(id string, bound int64) int64 {
--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -52,7 +52,7 @@
 // target returns what the share should hold, with the lock held: what the
 // demand needs for the time to endure, and enough for a start.
 func (s *Share) target() int64 {
-	demand := max(s.flow.rate, s.flow.fast) * s.sync.policy.Endure.Seconds()
+	demand := s.flow.demand() * s.sync.policy.Endure.Seconds()
 	start := s.sync.policy.Start
 	if start == 0 {
 		start = startCount * min(s.largest, MaxPaid/startCount)
@@ -107,6 +107,22 @@
 	return s.sync.failAt.After(s.sync.readAt)
 }
 
+// excessCount is how many times its target a share holds before it gives the
+// excess back.
+const excessCount = 2
+
+// giveBack returns what the share holds far beyond its target, if its policy
+// bounds what it holds. It returns the amount, with the lock held.
+func (s *Share) giveBack() int64 {
+	excess := s.room() - s.target()
+	if s.sync.policy.Part == 0 || s.closing || excess < (excessCount-1)*s.target() || excess <= 0 {
+		return 0
+	}
+	s.returned += excess
+	s.check()
+	return excess
+}
+
 // scarce reports whether the platform had nothing free when last asked, not
 // long ago, and the share is down to a few requests.
 func (s *Share) scarce(now time.Time) bool {
--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -38,7 +38,7 @@
 					result = err.Error()
 				}
 			case "draw":
-				result = fmt.Sprint("granted ", b.draw(id, number("need"), number("want")))
+				result = fmt.Sprint("granted ", b.draw(id, number("need"), number("want"), fairness{}))
 			case "seal":
 				result = fmt.Sprint("won ", b.seal(id, number("bound")))
 			case "close":
@@ -65,6 +65,63 @@
 	})
 }
 
+// A gatherer turns a reservation into a gift and adds to it only from what is
+// left beside the reservation.
+func TestTurnOverGivesNoMoreThanThereIs(t *testing.T) {
+	s := NewShare("b", "p/1/1", func(err error) { t.Error(err) })
+	s.sync.policy = Policy{Floor: 1}
+	s.granted = 1000
+	h, ok := s.Reserve(1000)
+	if !ok {
+		t.Fatal("no room for all")
+	}
+	if g := s.turnOver(h, "q/1/1", 5000); g.Total != 1000 {
+		t.Errorf("gave %d of 1000", g.Total)
+	}
+}
+
+// A share far above its target gives the excess back with its next write, and its
+// row is worth that write.
+func TestExcessIsReturned(t *testing.T) {
+	s := NewShare("b", "p/1/1", func(err error) { t.Error(err) })
+	s.sync.policy = Policy{Start: 100, Part: 0.5}
+	b := NewBook("account")
+	if _, err := b.PayUp(10_000); err != nil {
+		t.Fatal(err)
+	}
+	s.granted = b.draw(s.id, 1000, 0, fairness{})
+	if !s.edit(b, 0, refillRow, func(string) bool { return true }) {
+		t.Fatal("nothing to write")
+	}
+	if got := b.Row(s.id).Returned(); got != 900 {
+		t.Errorf("returned %d of 900", got)
+	}
+}
+
+// What a process held when it died counts as spent, and its row no longer counts
+// among those that share what is left.
+func TestNextProcessMarksRowsAsLost(t *testing.T) {
+	b := NewBook("account")
+	if _, err := b.PayUp(1000); err != nil {
+		t.Fatal(err)
+	}
+	b.draw("a/1/1", 400, 0, fairness{})
+	b.draw("b/1/1", 100, 0, fairness{})
+	b.bury("a/2")
+	if got := b.Row("a/1/1").State(); got != Lost {
+		t.Errorf("state of the dead process's row is %q", got)
+	}
+	if got := b.Row("b/1/1").State(); got != Open {
+		t.Errorf("state of a peer's row is %q", got)
+	}
+	if got := b.Free(); got != 500 {
+		t.Errorf("%d free, want 500", got)
+	}
+	if got := b.draw("a/2/1", 0, 1000, fairness{}); got != 300 {
+		t.Errorf("granted %d, want half of the 600 that are left", got)
+	}
+}
+
 func TestShareRefusesBeyondItsRoom(t *testing.T) {
 	s := NewShare("b", "p/1/1", func(err error) { t.Error(err) })
 	s.granted = 10
--- a/coord/escrow/gift.go
+++ b/coord/escrow/gift.go
@@ -60,8 +60,8 @@
 func (s *Share) turnOver(h Hold, to string, more int64) Gift {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reserved -= h.amount
 	amount := h.amount + max(min(more, s.room()/2-s.floor()), 0)
+	s.reserved -= h.amount
 	s.sentTo[to] += amount
 	s.sent += amount
 	s.check()
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -57,6 +57,15 @@
 	return share
 }
 
+// instanceOf returns the instance name in a process ID, the process ID itself if
+// it has none.
+func instanceOf(process string) string {
+	if i := strings.LastIndexByte(process, '/'); i > 0 {
+		return process[:i]
+	}
+	return process
+}
+
 // Share returns the share of a budget, made if need be. It draws nothing yet.
 func (h *Holder) Share(budget string, p Policy) *Share {
 	h.mu.RLock()
--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -66,6 +66,9 @@
 	// Floor what counts as nearly nothing, in micro-units. With 0 they follow
 	// from the largest request.
 	Start, Floor int64
+	// Part is how much of an equal part of what is left a share may hold ahead of
+	// need, 0 for all of it. What a process holds is lost when it dies.
+	Part float64
 }
 
 const (
--- a/coord/escrow/share.go
+++ b/coord/escrow/share.go
@@ -140,6 +140,8 @@
 // Figures are the counters of a share at one moment, in micro-units.
 type Figures struct {
 	granted, returned, used, reserved, sent, received, limit int64
+	free                                                     int64
+	age                                                      time.Duration
 	waiting                                                  int
 	rate                                                     float64
 }
@@ -167,6 +169,10 @@
 	return f.granted + f.received - f.sent - f.returned - f.used - f.reserved
 }
 
+// Free returns what the book had free when it was last read, and how long ago
+// that was.
+func (f Figures) Free() (int64, time.Duration) { return f.free, f.age }
+
 // Waiting returns the reservations that wait.
 func (f Figures) Waiting() int { return f.waiting }
 
@@ -176,7 +182,8 @@
 func (s *Share) figures() Figures {
 	return Figures{
 		granted: s.granted, returned: s.returned, used: s.used, reserved: s.reserved,
-		sent: s.sent, received: s.received, limit: s.limit, waiting: len(s.waiters), rate: s.flow.rate,
+		sent: s.sent, received: s.received, limit: s.limit, waiting: len(s.waiters), rate: s.flow.demand(),
+		free: s.sync.free, age: time.Since(s.sync.readAt),
 	}
 }
 
@@ -194,6 +201,7 @@
 	r.raw.Sent = copied(s.sentTo)
 	r.raw.Received = copied(s.gotFrom)
 	r.raw.Returned = max(r.raw.Returned, s.returned)
+	r.raw.Rate = int64(math.Round(s.flow.demand()))
 }
 
 func copied(m map[string]int64) map[string]int64 {
@@ -221,7 +229,10 @@
 const meterTime = 30 * time.Second
 
 // fastTime is the time constant of the fast average.
-const fastTime = 2 * time.Second
+const fastTime = 4 * time.Second
+
+// demand returns the use per second that a share should reckon with.
+func (m *meter) demand() float64 { return max(m.rate, m.fast) }
 
 func (m *meter) add(amount int64) { m.since += amount }
 
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -70,11 +70,12 @@
 			h.retire(s)
 			return ErrSealed
 		}
+		b.bury(h.process)
 		h.winBack(ctx, b, need)
 		s.wishFor(b.Free(), h.beyondReach(b))
 		h.enlist(ctx, s)
 	}
-	if !s.edit(b, need, m) {
+	if !s.edit(b, need, m, h.alive) {
 		return nil
 	}
 	b.fold()
@@ -89,6 +90,13 @@
 	return nil
 }
 
+// alive reports whether the holder of a row counts among those that share what is
+// left: itself, and the peers that are not silent.
+func (h *Holder) alive(id string) bool {
+	p := ProcessOf(id)
+	return p == h.process || !h.silent(p)
+}
+
 func (h *Holder) report(err error) {
 	if h.fault != nil {
 		h.fault(err)
@@ -141,18 +149,20 @@
 }
 
 // edit changes the share's row in b and reports whether anything changed that
-// is worth a write.
-func (s *Share) edit(b *Book, need int64, m mode) bool {
+// is worth a write. Alive says of the other rows whose holder lives.
+func (s *Share) edit(b *Book, need int64, m mode, alive func(id string) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &s.sync
 	r := b.open(s.id)
 	var grant int64
+	var excess int64
 	switch m {
 	case refillRow:
 		s.report(r)
+		excess = s.giveBack()
 		want := s.target() - s.idle()
-		grant = b.draw(s.id, need, max(want, 0))
+		grant = b.draw(s.id, need, max(want, 0), fairness{part: c.policy.Part, counts: alive})
 	case closeRow:
 		s.returned += s.idle()
 		r.raw.State = Closed
@@ -171,7 +181,7 @@
 		spared = s.spare(b.wishes(s.id))
 	}
 	wished := r.raw.Wish == c.wish || r.raw.Wish > 0 && c.wish > 0
-	if m == refillRow && grant == 0 && spared == 0 && wished && same && !b.changed {
+	if m == refillRow && grant == 0 && spared == 0 && excess == 0 && wished && same && !b.changed {
 		return false
 	}
 	r.raw.Wish = c.wish
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -19,10 +19,13 @@
 const (
 	// startShare is the part of a budget that one instance draws before it knows
 	// the demand.
-	startShare = 0.04
+	startShare = 0.01
 	// floorShare is the part of a budget below which an instance's share counts
 	// as nearly nothing.
-	floorShare = 0.003
+	floorShare = 0.001
+	// heldPart is how much of what is left all instances together hold ahead of
+	// need: enough for a cut of seconds, and little enough to lose.
+	heldPart = 0.6
 )
 
 // Purse reserves tokens. Fill in the fields before use.
@@ -41,6 +44,7 @@
 		Endure: p.Endure,
 		Start:  int64(float64(a.Prepaid) * startShare),
 		Floor:  int64(float64(a.Prepaid) * floorShare),
+		Part:   heldPart,
 	}
 }
 
@@ -51,6 +55,11 @@
 	return p.Holder.Reserve(ctx, a.Name, p.Policy(a), n)
 }
 
+// Figures returns what this instance knows of an account's budget.
+func (p *Purse) Figures(a *route.Account) escrow.Figures {
+	return p.Holder.Share(a.Name, p.Policy(a)).Figures()
+}
+
 // Sync pays in what a configuration says is prepaid, and draws the shares of
 // accounts that this instance has not served yet. Paid holds what is known to be
 // paid in; the caller keeps it from one call to the next.
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -198,8 +198,12 @@
 		x.hold, x.held = hold, true
 		return nil
 	}
+	f := x.Purse.Figures(x.account)
+	free, age := f.Free()
 	x.Logger.WithFields(log.Fields{
 		"request": x.request.ID, "account": x.account.Name, "bound": bound, "version": x.table.Version(), "reason": err.Error(),
+		"idle": f.Idle(), "reserved": f.Reserved(), "used": f.Used(), "rate": int64(f.Rate()), "free": free, "age": age.Milliseconds(),
+		"prepaid": x.account.Prepaid,
 	}).Info("budget: refused")
 	switch {
 	case errors.Is(err, escrow.ErrExhausted):
