drain: end idle connections by their reads, and empty the listener's queue

Now a connection is ended only by a read that brought nothing. Ruled out: the balancer (the request came 0.5 s before the node closed). A listener that closes first takes what waits in its queue.

--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -55,7 +55,7 @@
 	Bound    int64            `json:"bound,omitempty"`
 	Wish     int64            `json:"wish,omitempty"`
 	Rate     int64            `json:"rate,omitempty"` // micro-units per second, rounded
-	At       int64            `json:"at"` // the book's count of writes at the last one of this row
+	At       int64            `json:"at"`             // the book's count of writes at the last one of this row
 }
 
 // Granted returns all that was ever drawn, in micro-units.
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -16,6 +16,7 @@
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/coord/member"
 	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/drain"
 	"jacinthladder.dev/internal/fleet/peers"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/live"
@@ -67,9 +68,11 @@
 // Node is one instance. Make one with New.
 type Node struct {
 	Parts
-	leaving atomic.Bool
-	broken  chan error
-	serving sync.WaitGroup
+	leaving   atomic.Bool
+	broken    chan error
+	serving   sync.WaitGroup
+	callers   drain.Conns
+	accepting net.Listener // of callers
 }
 
 // New returns a node that does not serve yet.
@@ -92,7 +95,8 @@
 	own := n.listen(n.Listeners.peers, &http.Server{Handler: n.Server.Handler(), ReadHeaderTimeout: headTime})
 	admin := n.listen(n.Listeners.admin, &http.Server{Handler: http.HandlerFunc(n.page), ReadHeaderTimeout: headTime})
 	n.first(ctx)
-	callers := n.listen(n.Listeners.callers, n.surface())
+	n.accepting = n.callers.Listener(n.Listeners.callers)
+	n.listen(n.accepting, n.surface())
 	n.Logger.WithFields(log.Fields{
 		"instance": n.Settings.Name(), "zone": n.Settings.Zone(), "process": n.Holder.Process(), "callers": n.Settings.Listen(),
 	}).Info("front: started")
@@ -101,7 +105,7 @@
 	case <-ctx.Done():
 	case failed = <-n.broken:
 	}
-	err := n.stop(now, callers, func() {
+	err := n.stop(now, func() {
 		endLoops()
 		work.Wait()
 	})
@@ -132,7 +136,10 @@
 
 // surface returns the server for callers, with the limits in force.
 func (n *Node) surface() *http.Server {
-	s := &http.Server{Handler: n.Forwarder, ReadHeaderTimeout: headTime, IdleTimeout: callerIdle, MaxHeaderBytes: headMost}
+	s := &http.Server{
+		Handler: n.callers.Handler(n.Forwarder), ConnState: n.callers.State,
+		ReadHeaderTimeout: headTime, IdleTimeout: callerIdle, MaxHeaderBytes: headMost,
+	}
 	if t := n.Rules.Table(); t != nil {
 		if l := t.Limits(); l.Head > 0 && l.Idle > 0 {
 			s.ReadHeaderTimeout, s.IdleTimeout = l.Head, l.Idle
@@ -144,7 +151,7 @@
 func (n *Node) listen(l net.Listener, s *http.Server) *http.Server {
 	s.ErrorLog = quiet()
 	n.serving.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 			n.broken <- errors.Wrap(err, "front: serve")
 		}
 	})
@@ -213,16 +220,17 @@
 // stop ends the instance in order: it says that it leaves, takes what still
 // comes until the balancer has turned away, lets open requests end, and returns
 // its shares.
-func (n *Node) stop(now context.Context, callers *http.Server, endLoops func()) error {
+func (n *Node) stop(now context.Context, endLoops func()) error {
 	began := time.Now()
 	n.leaving.Store(true)
+	n.callers.Leave()
 	n.Table.Leave()
 	n.Logger.WithField("open", n.Forwarder.Open()).Info("front: leaving")
 	rest(now, leadTime)
 	grace := time.Duration(n.Settings.Forward().Grace) - closeTime
-	drain, cancel := context.WithDeadline(now, began.Add(grace))
+	until, cancel := context.WithDeadline(now, began.Add(grace))
 	defer cancel()
-	err := n.drain(drain, callers)
+	err := n.drain(until)
 	endLoops()
 	final, cancel := context.WithTimeout(context.Background(), closeTime/2)
 	defer cancel()
@@ -238,10 +246,12 @@
 }
 
 // drain takes no new connection and waits for open requests.
-func (n *Node) drain(ctx context.Context, callers *http.Server) error {
-	callers.SetKeepAlivesEnabled(false)
-	if err := callers.Shutdown(ctx); err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "front: requests were cut off"), callers.Close())
+func (n *Node) drain(ctx context.Context) error {
+	if err := n.callers.Close(n.accepting); err != nil {
+		return errors.Wrap(err, "front: listener")
+	}
+	if err := n.callers.Drain(ctx); err != nil {
+		return err
 	}
 	n.Forwarder.Wait()
 	return nil
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -20,6 +20,7 @@
 	"jacinthladder.dev/internal/entry/meter"
 	"jacinthladder.dev/internal/entry/settle"
 	"jacinthladder.dev/internal/fleet/config"
+	"jacinthladder.dev/internal/fleet/drain"
 	"jacinthladder.dev/internal/fleet/peers"
 	"jacinthladder.dev/internal/route/choose"
 	"jacinthladder.dev/internal/route/health"
@@ -68,12 +69,14 @@
 	server    *peers.Server
 	beater    *peers.Beater
 
-	leaving atomic.Bool
-	callers *http.Server
-	peers   *http.Server
-	admin   *http.Server
-	serving sync.WaitGroup
-	broken  chan error
+	leaving   atomic.Bool
+	callers   *http.Server
+	open      drain.Conns  // of callers
+	accepting net.Listener // of callers
+	peers     *http.Server
+	admin     *http.Server
+	serving   sync.WaitGroup
+	broken    chan error
 }
 
 // Listeners are the open addresses of an instance.
@@ -124,7 +127,9 @@
 		table: p.Table, client: p.Client, server: p.Server, beater: p.Beater,
 		broken: make(chan error, 3),
 	}
-	n.callers = &http.Server{Handler: n.callerSurface(), ReadHeaderTimeout: headTime, IdleTimeout: idleTime}
+	n.callers = &http.Server{
+		Handler: n.open.Handler(n.callerSurface()), ConnState: n.open.State, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
+	}
 	n.peers = &http.Server{Handler: p.Server.Handler(), ReadHeaderTimeout: headTime, IdleTimeout: idleTime}
 	n.admin = &http.Server{Handler: n.adminSurface(), ReadHeaderTimeout: headTime, IdleTimeout: idleTime}
 	return n
@@ -227,12 +232,13 @@
 }
 
 func (n *Node) serve() {
+	n.accepting = n.open.Listener(n.listeners.callers)
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
-	}{{n.callers, n.listeners.callers}, {n.peers, n.listeners.peers}, {n.admin, n.listeners.admin}} {
+	}{{n.callers, n.accepting}, {n.peers, n.listeners.peers}, {n.admin, n.listeners.admin}} {
 		n.serving.Go(func() {
-			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.server.Serve(s.listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 				n.broken <- errors.Wrap(err, "node: serve")
 			}
 		})
@@ -245,7 +251,7 @@
 	n.logger.Infof("node: leaving, lead %s, drain %s", n.settings.Lead(), n.settings.Drain())
 	n.leaving.Store(true)
 	n.table.Leave()
-	n.callers.SetKeepAlivesEnabled(false)
+	n.open.Leave()
 	rest(now, n.settings.Lead())
 	drain, cancel := context.WithTimeout(now, n.settings.Drain())
 	defer cancel()
@@ -271,8 +277,11 @@
 
 // drain takes no new work and waits for what is open.
 func (n *Node) drain(ctx context.Context) error {
-	if err := n.callers.Shutdown(ctx); err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "node: requests were cut off"), n.callers.Close())
+	if err := n.open.Close(n.accepting); err != nil {
+		return errors.Wrap(err, "node: listener")
+	}
+	if err := n.open.Drain(ctx); err != nil {
+		return errors.CombineErrors(err, n.callers.Close())
 	}
 	done := make(chan struct{})
 	go func() {
--- a/internal/tools/trial/keyed_test.go
+++ b/internal/tools/trial/keyed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"testing"
 	"time"
@@ -216,19 +217,24 @@
 func TestPlannedStopCutsOffNothing(t *testing.T) {
 	f := startFleet(t, func(c *Config) { c.Engine.Step = 5 * time.Millisecond })
 	c := newCaller(t, f, "field-north")
-	var g sync.WaitGroup
+	var g, written sync.WaitGroup
 	const each = 10
 	for i := range f.Nodes {
 		for n := range each {
+			written.Add(1)
+			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+				WroteRequest: func(httptrace.WroteRequestInfo) { written.Done() },
+			})
 			g.Go(func() {
 				body, want := chatBody(i*each+n, 64, true)
-				if got, err := c.chat(t.Context(), i, "", body); err != nil || got.text != want || got.broken {
+				if got, err := c.chat(ctx, i, "", body); err != nil || got.text != want || got.broken {
 					t.Errorf("instance %d: %+v, %v", i, got, err)
 				}
 			})
 		}
 	}
-	time.Sleep(50 * time.Millisecond)
+	// From here on every request has been sent, though perhaps not accepted.
+	written.Wait()
 	if b := stopped(t, f); b.Records != each*len(f.Nodes) {
 		t.Errorf("%d records for %d answers", b.Records, each*len(f.Nodes))
 	}
