--- a/cmd/jacinthladder/forward.go
+++ b/cmd/jacinthladder/forward.go
@@ -1,12 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/fleet/build"
@@ -18,10 +24,11 @@
 const heapShare = 0.6
 
 // forward runs an instance for forwarded routes.
-func forward(ctx context.Context, s *setup.Settings, out io.Writer) error {
-	if m := s.Forward().Megabytes; m > 0 {
-		debug.SetMemoryLimit(int64(float64(m<<20) * heapShare))
-	}
+func forward(ctx context.Context, file string, s *setup.Settings, out io.Writer) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	limitMemory(s)
 	level, err := log.ParseLevel(s.Level())
 	if err != nil {
 		return err
@@ -37,5 +44,55 @@
 	if err != nil {
 		return err
 	}
+	watching, stop := context.WithCancel(ctx)
+	work.Go(func() { reload(watching, file, hangups, logger, n.Reload) })
+	defer stop()
 	return untilSignal(ctx, logger, n.Run)
 }
+
+// reloadTime is how often the settings file is looked at, since it may change
+// without a signal.
+const reloadTime = time.Second
+
+// reload puts settings in force when the file changes, at once when a signal comes,
+// until ctx ends. A file that does not hold together leaves the old ones in force.
+func reload(ctx context.Context, file string, signals <-chan os.Signal, logger log.Interface, apply func(*setup.Settings)) {
+	t := time.NewTicker(reloadTime)
+	defer t.Stop()
+	var last []byte
+	for {
+		src, err := os.ReadFile(file)
+		switch {
+		case err != nil:
+			logger.WithError(err).Warn("settings: can't be read, the old ones stay in force")
+		case last == nil:
+			last = src
+		case !bytes.Equal(src, last):
+			last = src
+			s, err := setup.Parse(file, src)
+			if err == nil && s.Forward() == nil {
+				err = errors.New("settings: forward: missing")
+			}
+			if err != nil {
+				logger.WithError(err).Error("settings: refused, the old ones stay in force")
+				break
+			}
+			limitMemory(s)
+			apply(s)
+		}
+		select {
+		case <-signals:
+			logger.Info("settings: told to read the file again")
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// limitMemory makes the runtime keep within the settings' memory.
+func limitMemory(s *setup.Settings) {
+	if m := s.Forward().Megabytes; m > 0 {
+		debug.SetMemoryLimit(int64(float64(m<<20) * heapShare))
+	}
+}
--- a/cmd/jacinthladder/serve.go
+++ b/cmd/jacinthladder/serve.go
@@ -37,7 +37,7 @@
 				return err
 			}
 			if s.Forward() != nil {
-				return forward(c.Context(), s, c.OutOrStdout())
+				return forward(c.Context(), file, s, c.OutOrStdout())
 			}
 			logger, err := newLogger(c.ErrOrStderr(), s.Level(), s.Format())
 			if err != nil {
--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -15,19 +15,25 @@
 // Requests count only while they are younger than the span and older retries
 // count for one part longer, so the bound holds in any span, wherever it begins.
 type Window struct {
-	// Ratio is the most retries for each request.
-	Ratio float64
-	// Extra is the most retries beyond that in each span.
-	Extra float64
 	// Span is the length of time over which the bound holds.
 	Span time.Duration
 
 	mu       sync.Mutex
+	ratio    float64
+	extra    float64
 	at       int64 // the part that is counted now
 	requests [slots + 1]float64
 	retries  [slots + 1]float64
 }
 
+// Bound sets the most retries in each span: ratio for each request and extra. What
+// was counted before still counts.
+func (w *Window) Bound(ratio, extra float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ratio, w.extra = ratio, extra
+}
+
 // Begin counts a request.
 func (w *Window) Begin(now time.Time) {
 	w.mu.Lock()
@@ -48,7 +54,7 @@
 			requests += w.requests[j]
 		}
 	}
-	if retries+1 > w.Ratio*requests+w.Extra {
+	if retries+1 > w.ratio*requests+w.extra {
 		return false
 	}
 	w.retries[i]++
--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -88,10 +88,10 @@
 	peersClient := node.NewClient(table)
 	holder := front.NewHolder(process, store, peersClient, set, logger)
 	purse := front.NewPurse(s, holder, store)
+	retries := front.NewRetries(s, table)
 	server := front.NewServer(table, holder, feeds, board)
 	beater := front.NewBeater(peersClient, server, s, logger)
 	pool := front.NewPool()
-	retries := front.NewRetries(s, table)
 	serveServer := front.NewForwarder(rules, board, pool, purse, retries, set, logger)
 	parts := front.Parts{
 		Settings:  s,
@@ -104,6 +104,7 @@
 		Board:     board,
 		Holder:    holder,
 		Purse:     purse,
+		Retries:   retries,
 		Table:     table,
 		Peers:     peersClient,
 		Server:    server,
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -57,6 +57,7 @@
 	Board     *live.Board
 	Holder    *escrow.Holder
 	Purse     *purse.Purse
+	Retries   *Retries
 	Table     *member.Table
 	Peers     *peers.Client
 	Server    *peers.Server
@@ -69,6 +70,7 @@
 type Node struct {
 	Parts
 	leaving   atomic.Bool
+	grace     atomic.Int64 // of a planned stop, in nanoseconds
 	broken    chan error
 	serving   sync.WaitGroup
 	callers   drain.Conns
@@ -77,7 +79,9 @@
 
 // New returns a node that does not serve yet.
 func New(p Parts) *Node {
-	return &Node{Parts: p, broken: make(chan error, 4)}
+	n := &Node{Parts: p, broken: make(chan error, 4)}
+	n.grace.Store(int64(p.Settings.Forward().Grace))
+	return n
 }
 
 // Run serves until ctx ends, then stops as planned. Once now ends too, the stop
@@ -158,6 +162,18 @@
 	return s
 }
 
+// Reload puts other settings in force. Addresses, name and zone stay as they are
+// until the process is started again.
+func (n *Node) Reload(s *setup.Settings) {
+	n.Retries.configure(s.Forward())
+	n.Purse.SetEndure(time.Duration(s.Forward().Endure))
+	n.grace.Store(int64(s.Forward().Grace))
+	if old := n.Settings; old.Listen() != s.Listen() || old.Peer() != s.Peer() || old.Platform() != s.Platform() {
+		n.Logger.Warn("front: addresses have changed, which takes a restart")
+	}
+	n.Logger.WithField("grace", time.Duration(s.Forward().Grace).String()).Info("front: reloaded")
+}
+
 // Ready returns why the instance should get no requests, empty if it should.
 func (n *Node) Ready() string {
 	switch {
@@ -227,7 +243,7 @@
 	n.Table.Leave()
 	n.Logger.WithField("open", n.Forwarder.Open()).Info("front: leaving")
 	rest(now, leadTime)
-	grace := time.Duration(n.Settings.Forward().Grace) - closeTime
+	grace := time.Duration(n.grace.Load()) - closeTime
 	until, cancel := context.WithDeadline(now, began.Add(grace))
 	defer cancel()
 	err := n.drain(until)
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -188,12 +188,14 @@
 
 // NewPurse returns what reserves tokens.
 func NewPurse(s *setup.Settings, h *escrow.Holder, store *object.Store) *purse.Purse {
-	return &purse.Purse{
-		Holder: h, Endure: time.Duration(s.Forward().Endure),
+	p := &purse.Purse{
+		Holder: h,
 		Pay: func(ctx context.Context, budget string, total int64) error {
 			return books.PayUp(ctx, store, budget, total)
 		},
 	}
+	p.SetEndure(time.Duration(s.Forward().Endure))
+	return p
 }
 
 // leastFleet is the size that a fleet is taken to have at least: what an instance
@@ -220,18 +222,34 @@
 func (r *Retries) Window(service string) *retry.Window {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fleet = max(r.fleet, r.peers()+1)
+	if fleet := r.peers() + 1; fleet > r.fleet {
+		r.fleet = fleet
+		r.tune()
+	}
 	w := r.windows[service]
 	if w == nil {
-		w = &retry.Window{
-			Ratio: r.settings.Ratio * retryShare, Extra: r.settings.Extra * retryShare / float64(r.fleet),
-			Span: time.Duration(r.settings.Window),
-		}
+		w = &retry.Window{Span: time.Duration(r.settings.Window)}
 		r.windows[service] = w
+		r.tune()
 	}
 	return w
 }
 
+// configure puts other settings in force.
+func (r *Retries) configure(s *setup.Forward) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settings = s
+	r.tune()
+}
+
+// tune sets the bounds of all windows, with the lock held.
+func (r *Retries) tune() {
+	for _, w := range r.windows {
+		w.Bound(r.settings.Ratio*retryShare, r.settings.Extra*retryShare/float64(r.fleet))
+	}
+}
+
 // retryShare is the part of the allowed retries that is used: requests that a
 // killed instance has counted are lost to the others.
 const retryShare = 0.8
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,16 +33,19 @@
 type Purse struct {
 	// Holder keeps this instance's shares.
 	Holder *escrow.Holder
-	// Endure is how long a share should last when the platform is out of reach.
-	Endure time.Duration
 	// Pay makes a budget count at least total as paid in.
 	Pay func(ctx context.Context, budget string, total int64) error
+
+	endure atomic.Int64 // nanoseconds
 }
 
+// SetEndure sets how long a share should last when the platform is out of reach.
+func (p *Purse) SetEndure(d time.Duration) { p.endure.Store(int64(d)) }
+
 // Policy returns how the share of an account's budget is kept.
 func (p *Purse) Policy(a *route.Account) escrow.Policy {
 	return escrow.Policy{
-		Endure: p.Endure,
+		Endure: time.Duration(p.endure.Load()),
 		Start:  int64(float64(a.Prepaid) * startShare),
 		Floor:  int64(float64(a.Prepaid) * floorShare),
 		Part:   heldPart,
--- a/internal/forward/serve/reply.go
+++ b/internal/forward/serve/reply.go
@@ -128,7 +128,8 @@
 		if err == nil && br.Buffered() > 0 {
 			continue
 		}
-		if err == nil || errors.Is(err, io.EOF) {
+		// Whole events are delivered before the next endpoint is told of them.
+		if err == nil || errors.Is(err, io.EOF) || batch.Len() > 0 {
 			if err := p.flush(resp, &batch); err != nil {
 				return err
 			}
