--- a/internal/forward/serve/refuse.go
+++ b/internal/forward/serve/refuse.go
@@ -20,6 +20,7 @@
 	NoRoute     Code = "unknown_route"
 	HeaderSize  Code = "header_too_large"
 	BodySize    Code = "body_too_large"
+	Slow        Code = "body_too_slow"
 	Exhausted   Code = "budget_exhausted"
 	Unreachable Code = "budget_unreachable"
 	Unready     Code = "no_configuration"
@@ -34,6 +35,7 @@
 	NoRoute:     http.StatusNotFound,
 	HeaderSize:  http.StatusRequestHeaderFieldsTooLarge,
 	BodySize:    http.StatusRequestEntityTooLarge,
+	Slow:        http.StatusRequestTimeout,
 	Exhausted:   http.StatusPaymentRequired,
 	Unreachable: http.StatusServiceUnavailable,
 	Unready:     http.StatusServiceUnavailable,
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -238,7 +238,7 @@
 func (w *world) request(t *testing.T, input string) string {
 	head, body, _ := strings.Cut(input+"\n", "\n\n")
 	if strings.Contains(head, "chunked") {
-		body = strings.ReplaceAll(body, "\n", "\r\n")
+		body = strings.ReplaceAll(strings.TrimSpace(body), "\n", "\r\n") + "\r\n\r\n\n"
 	}
 	raw := strings.ReplaceAll(strings.TrimSuffix(head, "\n"), "\n", "\r\n") + "\r\n\r\n" + strings.TrimSuffix(body, "\n")
 	nc, err := net.Dial("tcp", w.front.Listener.Addr().String())
@@ -246,6 +246,7 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(5 * time.Second))
 	io.WriteString(nc, raw)
 	var out bytes.Buffer
 	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -154,8 +155,16 @@
 	if x.r.ContentLength > most {
 		return refuse(BodySize, "the body is longer than %d bytes", most)
 	}
+	if err := x.reply.control.SetReadDeadline(x.until); err != nil {
+		return errCaller
+	}
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, most+1))
+	if err := x.reply.control.SetReadDeadline(time.Time{}); err != nil {
+		return errCaller
+	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(Slow, "the body did not come in time")
 	case err != nil:
 		return refuse(BadRequest, "the body broke off")
 	case int64(len(body)) > most:
