--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -26,7 +26,7 @@
 	floorShare = 0.001
 	// heldPart is how much of what is left all instances together hold ahead of
 	// need: enough for a cut of seconds, and little enough to lose.
-	heldPart = 0.6
+	heldPart = 0.35
 )
 
 // Purse reserves tokens. Fill in the fields before use.
--- a/internal/forward/serve/finish.go
+++ b/internal/forward/serve/finish.go
@@ -65,7 +65,7 @@
 		f["version"] = x.table.Version()
 	}
 	if x.account != nil {
-		f["account"] = x.account.Name
+		f["account"], f["tokens"], f["bound"] = x.account.Name, x.used, x.request.Bound()
 	}
 	if !x.reply.first.IsZero() {
 		f["first"] = x.reply.first.Sub(x.begun).Milliseconds()
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -70,6 +70,7 @@
 	sized   bool
 	hold    escrow.Hold
 	held    bool
+	used    int64     // tokens billed
 	until   time.Time // when the request gets its final answer
 
 	sends   int      // endpoints that it may have left for
@@ -233,7 +234,8 @@
 	if x.ran {
 		used = x.request.Prompt + x.reply.events*x.stride()
 	}
-	x.Meter.spent(x.service.Name, x.hold.Settle(used))
+	x.used = x.hold.Settle(used)
+	x.Meter.spent(x.service.Name, x.used)
 }
 
 func (x *exchange) stride() int64 {
