feed, escrow: ask anew within the time to be in force; return idle shares beside open requests

The wait now follows the deployment's own bound.

'Exhausted' is now only said on a fresh reading of the book; else callers are told to come back.

--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -80,6 +81,32 @@
 	}
 }
 
+// A holder that closes beside an open reservation returns all but what that holds.
+func TestCloseReturnsWhatIsIdle(t *testing.T) {
+	book := NewBook("account")
+	if _, err := book.PayUp(1000); err != nil {
+		t.Fatal(err)
+	}
+	h := NewHolder("a/1", Platform{
+		Read:  func(context.Context, string) (*Book, int64, error) { return book, 1, nil },
+		Write: func(_ context.Context, _ string, _ int64, b *Book) error { book = b; return nil },
+	}, Peers{}, func(err error) { t.Error(err) })
+	hold, err := h.Reserve(t.Context(), "b", Policy{Start: 800, Part: 1}, Need{Amount: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Close(t.Context()); err == nil {
+		t.Error("closed in order beside an open reservation")
+	}
+	if got := book.Free(); got != 900 {
+		t.Errorf("%d free after the close, want 900", got)
+	}
+	hold.Settle(100)
+	if err := book.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A share far above its target gives the excess back with its next write, and its
 // row is worth that write.
 func TestExcessIsReturned(t *testing.T) {
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -245,14 +245,20 @@
 }
 
 // Close returns what is left of every share, tries again until ctx ends, and
-// reports the budgets whose share could not be returned. The caller first lets
-// open reservations settle and stops Run.
+// reports the budgets whose share could not be returned whole. The caller first
+// lets open reservations settle and stops Run. Where some are still open, only
+// what is idle is returned, and what they hold counts as spent.
 func (h *Holder) Close(ctx context.Context) error {
 	h.mu.Lock()
 	h.closed = true
 	h.mu.Unlock()
 	var left []string
 	for _, s := range h.Shares() {
+		if s.Figures().reserved > 0 {
+			h.leaveShare(ctx, s)
+			left = append(left, s.budget)
+			continue
+		}
 		for !h.closeShare(ctx, s) {
 			select {
 			case <-ctx.Done():
@@ -298,6 +304,20 @@
 	return true
 }
 
+// leaveShare returns what is idle of a share with open reservations.
+func (h *Holder) leaveShare(ctx context.Context, s *Share) {
+	if err := s.sync.enter(ctx); err != nil {
+		return
+	}
+	defer s.sync.leave()
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	if err := h.update(ctx, s, 0, leaveRow); err != nil && h.fault != nil && is(err, ErrBroken) {
+		h.fault(err)
+	}
+}
+
 // collect asks the peers that have given to s for what may be under way.
 func (h *Holder) collect(ctx context.Context, s *Share) {
 	if h.peers.Ask == nil || h.peers.Near == nil {
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -15,6 +15,7 @@
 const (
 	refillRow mode = iota
 	closeRow
+	leaveRow // return what is idle; the rest stays with open reservations
 )
 
 // refill draws on the platform for a share that lacks need, unless a read that
@@ -166,6 +167,9 @@
 	case closeRow:
 		s.returned += s.idle()
 		r.raw.State = Closed
+	case leaveRow:
+		s.returned += s.idle()
+		r.raw.State = Lost
 	}
 	if need == 0 && m == refillRow && grant < max(s.target()/8, s.floor()) {
 		// Too little to be worth a write before someone needs it.
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -41,6 +41,9 @@
 	Seeds []string `json:"seeds"`
 	// Grace is how long a planned stop may take before the process is killed.
 	Grace jsonc.Span `json:"grace"`
+	// Fresh is the longest that the platform may be silent on what is watched
+	// before it is asked anew: a connection can fall silent unnoticed.
+	Fresh jsonc.Span `json:"fresh"`
 	// Endure is how long shares of budgets should last without the platform.
 	Endure jsonc.Span `json:"endure"`
 	// Ratio, Extra and Window bound the retries of the whole fleet.
@@ -173,6 +176,8 @@
 	switch {
 	case f.Grace <= 0:
 		return "forward", "grace must be more than 0"
+	case f.Fresh <= 0:
+		return "forward", "fresh must be more than 0"
 	case f.Window <= 0:
 		return "forward", "window must be more than 0"
 	case f.Ratio < 0 || f.Extra < 0:
--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -82,7 +82,7 @@
 	rules := front.NewRules()
 	store := front.NewStore(s, client, set, logger)
 	board := front.NewBoard(s)
-	feeds := front.NewFeeds(store, rules, board, logger)
+	feeds := front.NewFeeds(s, store, rules, board, logger)
 	process := node.NewProcess(s)
 	table := front.NewTable(process, s)
 	peersClient := node.NewClient(table)
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -14,13 +14,14 @@
 )
 
 const (
-	// watchTime is how long one watch waits at the platform.
+	// watchTime is how long one watch waits at the platform unless Silent says
+	// otherwise.
 	watchTime = 20 * time.Second
 	// probeTime is how long a watch waits after a failure: short, so that a
 	// connection that fell silent does not hold up the next news.
 	probeTime = 500 * time.Millisecond
 	// answerTime bounds an answer of the platform beyond the wait.
-	answerTime = 1200 * time.Millisecond
+	answerTime = 900 * time.Millisecond
 	// firstPause and lastPause bound the pause between two tries.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -47,9 +47,6 @@
 	// absentTime is how long an endpoint must be missing from the platform's
 	// lists: entries that lapsed in an outage come back within two seconds.
 	absentTime = 2500 * time.Millisecond
-	// silentTime is the longest that a watch may bring nothing before it is made
-	// anew, in case its connection fell silent.
-	silentTime = 5 * time.Second
 )
 
 // Listeners are the open addresses of an instance.
@@ -121,12 +118,12 @@
 type Feeds struct{ routes, endpoints *feed.Feed }
 
 // NewFeeds returns feeds that put what they hear in force.
-func NewFeeds(store *object.Store, r *Rules, b *live.Board, logger log.Interface) *Feeds {
+func NewFeeds(s *setup.Settings, store *object.Store, r *Rules, b *live.Board, logger log.Interface) *Feeds {
 	f := &Feeds{
 		routes:    feed.New(platform.RoutesKind, store, logger),
 		endpoints: feed.New(platform.EndpointsKind, store, logger),
 	}
-	f.routes.Silent, f.endpoints.Silent = silentTime, silentTime
+	f.routes.Silent, f.endpoints.Silent = time.Duration(s.Forward().Fresh), time.Duration(s.Forward().Fresh)
 	f.routes.Apply = func(source string, o object.Object) { applyRoutes(source, o, r, b, logger) }
 	f.endpoints.Absent = absentTime
 	f.endpoints.Apply = func(source string, o object.Object) { applyEndpoint(source, o, b, logger) }
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -24,6 +24,9 @@
 	// floorShare is the part of a budget below which an instance's share counts
 	// as nearly nothing.
 	floorShare = 0.001
+	// freshTime is how old a reading of a book may be to tell a caller that its
+	// budget is exhausted.
+	freshTime = 2 * time.Second
 	// heldPart is how much of what is left all instances together hold ahead of
 	// need: enough for a cut of seconds, and little enough to lose.
 	heldPart = 0.35
@@ -53,10 +56,17 @@
 }
 
 // Reserve sets amount aside for a request of an account. It fails with an error
-// of package escrow.
+// of package escrow. That a budget is exhausted is only said on a reading of the
+// book that is fresh and shows nothing left for the request.
 func (p *Purse) Reserve(ctx context.Context, a *route.Account, amount int64, wait time.Duration) (escrow.Hold, error) {
 	n := escrow.Need{Amount: amount, Rank: -a.Rank, Wait: wait}
-	return p.Holder.Reserve(ctx, a.Name, p.Policy(a), n)
+	h, err := p.Holder.Reserve(ctx, a.Name, p.Policy(a), n)
+	if errors.Is(err, escrow.ErrExhausted) {
+		if free, age := p.Figures(a).Free(); free >= amount || age > freshTime {
+			err = errors.Wrapf(escrow.ErrCutOff, "the book was read %s ago", age.Round(time.Millisecond))
+		}
+	}
+	return h, err
 }
 
 // Figures returns what this instance knows of an account's budget.
