books: keep budgets in groups and write them in batches; refill in rounds

Now one object holds many budgets, reads and writes that come together go in one call, and a holder refills all its shares in one round. A budget's version is its own, so writes of different budgets don't conflict. Rows of dead processes are folded at once.

--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -30,9 +30,6 @@
 	Open State = "open"
 	// Sealed rows have been won back; the holder may spend up to the bound.
 	Sealed State = "sealed"
-	// Lost rows are of a process that its instance's next one has replaced. All
-	// that they had counts as spent.
-	Lost State = "lost"
 	// Closed rows are settled but for transfers that peers have yet to credit.
 	Closed State = "closed"
 )
@@ -43,9 +40,9 @@
 }
 
 type rowText struct {
-	Granted  int64            `json:"granted"`
-	Returned int64            `json:"returned"`
-	Used     int64            `json:"used"`
+	Granted  int64            `json:"granted,omitempty"`
+	Returned int64            `json:"returned,omitempty"`
+	Used     int64            `json:"used,omitempty"`
 	Sent     map[string]int64 `json:"sent,omitempty"`
 	Received map[string]int64 `json:"received,omitempty"`
 	Seq      int64            `json:"seq"`
@@ -309,20 +306,27 @@
 	return grant
 }
 
-// bury marks the rows that earlier processes of the same instance left as lost:
-// nobody can tell what they spent. Rows with witnesses are left to be won back.
+// bury ends the rows that earlier processes of the same instance left: nobody can
+// tell what they spent. Rows with witnesses are left to be won back.
 func (b *Book) bury(process string) {
 	for id, r := range b.rows {
 		owner := ProcessOf(id)
 		if r.raw.State != Open || owner == process || instanceOf(owner) != instanceOf(process) || len(r.raw.Guards) > 0 {
 			continue
 		}
-		r.raw.State = Lost
-		b.touch(r)
-		b.changed = true
+		b.lose(id)
 	}
 }
 
+// lose ends a row whose holder will say no more. All that it had counts as spent.
+// Unlike a closed row it leaves nothing behind by which peers could take back what
+// they gave it: the holder may have used that.
+func (b *Book) lose(id string) {
+	b.spent += b.rows[id].outstanding()
+	delete(b.rows, id)
+	b.changed = true
+}
+
 // seal wins back what the share id can't have used, given the most that can
 // have flowed out of it, and returns the amount.
 func (b *Book) seal(id string, bound int64) int64 {
--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -84,11 +84,35 @@
 	return floorCount * min(s.largest, MaxPaid/floorCount)
 }
 
+// lowPart is the part of its target below which a share is refilled, and
+// lowPartHeld the same where the policy bounds what all shares hold.
+const (
+	lowPart     = 0.5
+	lowPartHeld = 0.7
+)
+
 // low reports whether the share should be refilled ahead of need.
 func (s *Share) low() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.closing && s.idle() < s.target()/2 && time.Now().After(s.sync.restUntil)
+	part := lowPart
+	if s.sync.policy.Part > 0 {
+		part = lowPartHeld
+	}
+	return !s.closing && float64(s.idle()) < part*float64(s.target()) && time.Now().After(s.sync.restUntil)
+}
+
+// shortPart is the part of its target below which a share is refilled when others
+// are.
+const shortPart = 0.9
+
+// short reports whether the share could do with a refill, or has far too much.
+func (s *Share) short() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	target := float64(s.target())
+	idle := float64(s.idle())
+	return !s.closing && (idle < shortPart*target && time.Now().After(s.sync.restUntil) || idle > excessCount*target)
 }
 
 // dry reports whether the platform said so lately that nothing is free, or
@@ -97,7 +121,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &s.sync
-	return c.free <= 0 && now.Sub(c.readAt) < dryTime || now.Sub(c.failAt) < awayTime
+	believed := dryTime
+	if c.policy.Part > 0 {
+		believed = dryTimeHeld
+	}
+	return c.free <= 0 && now.Sub(c.readAt) < believed || now.Sub(c.failAt) < awayTime
 }
 
 // away reports whether the last call to the platform failed.
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -28,6 +28,12 @@
 
 	witness Witness
 	kicks   chan *Share
+
+	// Pace is the least time between two rounds of refills ahead of need, all
+	// shares at once, for a platform that writes them in one call; 0 refills
+	// each share as soon as it is low. Set it before Run.
+	Pace  time.Duration
+	paced time.Time // when the last round began
 }
 
 // NewHolder returns a holder for a process whose ID, "name/incarnation", no
@@ -141,7 +147,9 @@
 		case <-ctx.Done():
 			return
 		case s := <-h.kicks:
-			h.tend(ctx, s, time.Now(), false)
+			if h.Pace == 0 {
+				h.tend(ctx, s, time.Now(), false)
+			}
 		case now := <-t.C:
 			h.Tick(ctx, now)
 		}
@@ -151,26 +159,48 @@
 // Tick does once what Run does again and again.
 func (h *Holder) Tick(ctx context.Context, now time.Time) {
 	shares := h.Shares()
-	away := false
 	for _, s := range shares {
 		s.mu.Lock()
 		s.flow.tick(now)
 		s.mu.Unlock()
-		// One call that fails is enough: the others would fail as slowly.
-		away = h.tend(ctx, s, now, away) || away
+	}
+	if h.Pace > 0 {
+		h.round(ctx, shares, now)
+	} else {
+		away := false
+		for _, s := range shares {
+			// One call that fails is enough: the others would fail as slowly.
+			away = h.tend(ctx, s, now, away) || away
+		}
 	}
 	h.raise(ctx, shares)
 	h.repeat(ctx, shares)
 	h.dropSettled(ctx)
 }
 
+// round refills all shares that are low at the same time, with those that soon
+// will be, so that one call to the platform serves them all.
+func (h *Holder) round(ctx context.Context, shares []*Share, now time.Time) {
+	if now.Sub(h.paced) < h.Pace || !slices.ContainsFunc(shares, func(s *Share) bool { return s.low() && !s.dry(now) }) {
+		return
+	}
+	h.paced = now
+	var work sync.WaitGroup
+	for _, s := range shares {
+		if !s.dry(now) && s.short() {
+			work.Go(func() { h.tend(ctx, s, now, false) })
+		}
+	}
+	work.Wait()
+}
+
 // tend refills a share ahead of need, unless the platform is away, or hands in
 // what it has left of a scarce budget. It reports whether the platform failed.
 func (h *Holder) tend(ctx context.Context, s *Share, now time.Time, away bool) bool {
 	if s.scarce(now) && h.handIn(ctx, s) {
 		return false
 	}
-	if away || s.dry(now) || !s.low() && !h.unguarded(s) && !s.due(now) {
+	if away || s.dry(now) || !s.low() && !(h.Pace > 0 && s.short()) && !h.unguarded(s) && !s.due(now) {
 		return false
 	}
 	err := h.refill(ctx, s, 0, now)
--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -83,6 +83,9 @@
 	tickTime = 250 * time.Millisecond
 	// dryTime is how long the platform's word that nothing is free is believed.
 	dryTime = 250 * time.Millisecond
+	// dryTimeHeld is the same where the policy bounds what all shares hold, so
+	// that little comes back.
+	dryTimeHeld = time.Second
 	// scarceTime is how long a budget counts as scarce after the platform had
 	// nothing free; then this holder looks again by itself.
 	scarceTime = 5 * time.Second
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -15,7 +15,7 @@
 const (
 	refillRow mode = iota
 	closeRow
-	leaveRow // return what is idle; the rest stays with open reservations
+	leaveRow // return what is idle; what open reservations hold counts as spent
 )
 
 // refill draws on the platform for a share that lacks need, unless a read that
@@ -169,7 +169,6 @@
 		r.raw.State = Closed
 	case leaveRow:
 		s.returned += s.idle()
-		r.raw.State = Lost
 	}
 	if need == 0 && m == refillRow && grant < max(s.target()/8, s.floor()) {
 		// Too little to be worth a write before someone needs it.
@@ -197,6 +196,9 @@
 	c.seq++
 	r.raw.Seq = c.seq
 	b.touch(r)
+	if m == leaveRow {
+		b.lose(s.id)
+	}
 	return true
 }
 
--- a/internal/fleet/books/books.go
+++ b/internal/fleet/books/books.go
@@ -74,11 +74,11 @@
 	}
 }
 
-// PayUp makes a budget count at least total as paid in. The budget is named after
+// payUp makes a budget count at least total as paid in. The budget is named after
 // its account, and made if need be.
-func PayUp(ctx context.Context, store *object.Store, budget string, total int64) error {
+func payUp(ctx context.Context, p escrow.Platform, budget string, total int64) error {
 	for {
-		b, version, err := Read(ctx, store, budget)
+		b, version, err := p.Read(ctx, budget)
 		if errors.Is(err, escrow.ErrMissing) {
 			b, version, err = escrow.NewBook(budget), 0, nil
 		}
@@ -89,7 +89,7 @@
 		if err != nil || !changed && version > 0 {
 			return err
 		}
-		err = Write(ctx, store, budget, version, b)
+		err = p.Write(ctx, budget, version, b)
 		if !errors.Is(err, escrow.ErrConflict) {
 			return err
 		}
--- /dev/null
+++ b/internal/fleet/books/group_test.go
@@ -0,0 +1,128 @@
+package books
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/internal/plat/object"
+)
+
+// shelf is a platform of one object that counts its calls.
+type shelf struct {
+	mu      sync.Mutex
+	value   []byte
+	version int64
+	calls   int
+	lose    bool // the next write takes effect, and its answer is lost
+}
+
+func (s *shelf) store() *object.Store {
+	return &object.Store{
+		Get: func(_ context.Context, kind, name string) (object.Object, error) {
+			time.Sleep(4 * time.Millisecond)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.calls++
+			if s.version == 0 {
+				return object.Object{}, object.ErrMissing
+			}
+			return object.New(kind, name, s.version, s.value), nil
+		},
+		Put: func(_ context.Context, _, _ string, version int64, value []byte) (int64, error) {
+			time.Sleep(4 * time.Millisecond)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.calls++
+			if version != s.version {
+				return 0, object.ErrConflict
+			}
+			s.value = value
+			s.version++
+			if s.lose {
+				s.lose = false
+				return 0, object.ErrUnknown
+			}
+			return s.version, nil
+		},
+	}
+}
+
+// Budgets that are paid in at the same time go in a few calls, and each is there.
+func TestGroupsBatchCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &shelf{}
+		g := NewGroups(s.store(), 1)
+		const budgets = 24
+		var work sync.WaitGroup
+		for i := range budgets {
+			work.Go(func() {
+				if err := g.PayUp(t.Context(), fmt.Sprint("b", i), int64(100+i)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		work.Wait()
+		if s.calls > 4 {
+			t.Errorf("%d calls for %d budgets", s.calls, budgets)
+		}
+		for i := range budgets {
+			b, _, err := g.Read(t.Context(), fmt.Sprint("b", i))
+			if err != nil || b.Paid() != int64(100+i) {
+				t.Errorf("budget %d: %v, %v", i, b, err)
+			}
+		}
+	})
+}
+
+// A write conflicts with another of the same budget only, whoever made it.
+func TestGroupsConflictByBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &shelf{}
+		here, there := NewGroups(s.store(), 1), NewGroups(s.store(), 1)
+		for _, b := range []string{"x", "y"} {
+			if err := here.PayUp(t.Context(), b, 100); err != nil {
+				t.Fatal(err)
+			}
+		}
+		x, vx, _ := here.Read(t.Context(), "x")
+		y, vy, _ := here.Read(t.Context(), "y")
+		if err := there.PayUp(t.Context(), "y", 200); err != nil {
+			t.Fatal(err)
+		}
+		if err := here.Write(t.Context(), "x", vx, x); err != nil {
+			t.Errorf("x: %v", err)
+		}
+		if err := here.Write(t.Context(), "y", vy, y); !errors.Is(err, escrow.ErrConflict) {
+			t.Errorf("y: %v, want a conflict", err)
+		}
+		if b, _, _ := here.Read(t.Context(), "y"); b.Paid() != 200 {
+			t.Errorf("y has %d paid in, want 200", b.Paid())
+		}
+	})
+}
+
+// A write whose answer is lost is an unknown outcome for all that went with it.
+func TestGroupsReportLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &shelf{}
+		g := NewGroups(s.store(), 1)
+		if err := g.PayUp(t.Context(), "x", 100); err != nil {
+			t.Fatal(err)
+		}
+		b, version, _ := g.Read(t.Context(), "x")
+		s.lose = true
+		if err := g.Write(t.Context(), "x", version, b); !errors.Is(err, object.ErrUnknown) {
+			t.Errorf("%v, want an unknown outcome", err)
+		}
+		if err := g.Write(t.Context(), "x", version, b); !errors.Is(err, escrow.ErrConflict) {
+			t.Errorf("%v, want a conflict: the write took effect", err)
+		}
+	})
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -22,6 +22,9 @@
 	probeTime = 500 * time.Millisecond
 	// answerTime bounds an answer of the platform beyond the wait.
 	answerTime = 900 * time.Millisecond
+	// gatherTime is the pause after each answer, so that changes which come close
+	// together take one call.
+	gatherTime = 120 * time.Millisecond
 	// firstPause and lastPause bound the pause between two tries.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
@@ -159,6 +162,7 @@
 		case err == nil:
 			b.Reset()
 			wait = f.wait()
+			sleep(ctx, gatherTime)
 			continue
 		case errors.Is(err, object.ErrExpired):
 			f.relist()
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -35,7 +35,7 @@
 // Set is the providers of all parts of a Node, for the injectors.
 var Set = wire.NewSet(
 	node.NewProcess, Listen, metrics.NewSet, NewClient, NewStore, NewTable, node.NewClient, NewBoard, NewRules,
-	NewFeeds, NewHolder, NewPurse, NewRetries, NewServer, NewBeater, NewPool, NewForwarder,
+	NewFeeds, NewGroups, NewHolder, NewPurse, NewRetries, NewServer, NewBeater, NewPool, NewForwarder,
 	wire.Struct(new(Parts), "*"), New,
 )
 
@@ -176,20 +176,29 @@
 }
 
 // NewHolder returns an escrow holder without shares.
-func NewHolder(p node.Process, store *object.Store, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
-	return escrow.NewHolder(string(p), books.Platform(store), c.Escrow(), func(err error) {
+func NewHolder(p node.Process, g *books.Groups, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
+	h := escrow.NewHolder(string(p), g.Platform(), c.Escrow(), func(err error) {
 		set.GetOrCreateCounter("jacinthladder_broken_rules_total").Inc()
 		logger.WithError(err).Error("escrow: a rule would be broken, the share refuses from now on")
 	})
+	h.Pace = paceTime
+	return h
+}
+
+// paceTime is the least time between two rounds of refills: short against the
+// time that shares endure, long against a call to the platform.
+const paceTime = 900 * time.Millisecond
+
+// NewGroups returns the budgets on the platform.
+func NewGroups(s *setup.Settings, store *object.Store) *books.Groups {
+	return books.NewGroups(store, s.Forward().Groups)
 }
 
 // NewPurse returns what reserves tokens.
-func NewPurse(s *setup.Settings, h *escrow.Holder, store *object.Store) *purse.Purse {
+func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups) *purse.Purse {
 	p := &purse.Purse{
 		Holder: h,
-		Pay: func(ctx context.Context, budget string, total int64) error {
-			return books.PayUp(ctx, store, budget, total)
-		},
+		Pay:    g.PayUp,
 	}
 	p.SetEndure(time.Duration(s.Forward().Endure))
 	return p
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,7 @@
 	freshTime = 2 * time.Second
 	// heldPart is how much of what is left all instances together hold ahead of
 	// need: enough for a cut of seconds, and little enough to lose.
-	heldPart = 0.35
+	heldPart = 0.5
 )
 
 // Purse reserves tokens. Fill in the fields before use.
@@ -80,6 +81,8 @@
 func (p *Purse) Sync(ctx context.Context, t *route.Table, paid map[string]int64) error {
 	policies := map[string]escrow.Policy{}
 	var failed error
+	var mu sync.Mutex
+	var work sync.WaitGroup
 	for _, a := range t.Accounts() {
 		if !a.Metered {
 			continue
@@ -88,12 +91,18 @@
 		if known, ok := paid[a.Name]; ok && known >= a.Prepaid {
 			continue
 		}
-		if err := p.Pay(ctx, a.Name, a.Prepaid); err != nil {
-			failed = errors.CombineErrors(failed, errors.Wrapf(err, "purse: budget %s", a.Name))
-			continue
-		}
-		paid[a.Name] = a.Prepaid
+		work.Go(func() {
+			err := p.Pay(ctx, a.Name, a.Prepaid)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = errors.CombineErrors(failed, errors.Wrapf(err, "purse: budget %s", a.Name))
+				return
+			}
+			paid[a.Name] = a.Prepaid
+		})
 	}
+	work.Wait()
 	p.Holder.Configure(policies)
 	for budget, policy := range policies {
 		if _, ok := paid[budget]; ok {
