--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -121,10 +122,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &s.sync
-	believed := dryTime
-	if c.policy.Part > 0 {
-		believed = dryTimeHeld
-	}
+	believed := cmp.Or(c.policy.Dry, dryTime)
 	return c.free <= 0 && now.Sub(c.readAt) < believed || now.Sub(c.failAt) < awayTime
 }
 
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -29,10 +29,10 @@
 	witness Witness
 	kicks   chan *Share
 
-	// Pace is the least time between two rounds of refills ahead of need, all
-	// shares at once, for a platform that writes them in one call; 0 refills
+	// Pace returns the least time between two rounds of refills ahead of need, all
+	// shares at once, for a platform that writes them in one call. Nil refills
 	// each share as soon as it is low. Set it before Run.
-	Pace  time.Duration
+	Pace  func() time.Duration
 	paced time.Time // when the last round began
 }
 
@@ -147,7 +147,7 @@
 		case <-ctx.Done():
 			return
 		case s := <-h.kicks:
-			if h.Pace == 0 {
+			if h.Pace == nil {
 				h.tend(ctx, s, time.Now(), false)
 			}
 		case now := <-t.C:
@@ -164,7 +164,7 @@
 		s.flow.tick(now)
 		s.mu.Unlock()
 	}
-	if h.Pace > 0 {
+	if h.Pace != nil {
 		h.round(ctx, shares, now)
 	} else {
 		away := false
@@ -181,7 +181,7 @@
 // round refills all shares that are low at the same time, with those that soon
 // will be, so that one call to the platform serves them all.
 func (h *Holder) round(ctx context.Context, shares []*Share, now time.Time) {
-	if now.Sub(h.paced) < h.Pace || !slices.ContainsFunc(shares, func(s *Share) bool { return s.low() && !s.dry(now) }) {
+	if now.Sub(h.paced) < h.Pace() || !slices.ContainsFunc(shares, func(s *Share) bool { return s.low() && !s.dry(now) }) {
 		return
 	}
 	h.paced = now
@@ -200,7 +200,7 @@
 	if s.scarce(now) && h.handIn(ctx, s) {
 		return false
 	}
-	if away || s.dry(now) || !s.low() && !(h.Pace > 0 && s.short()) && !h.unguarded(s) && !s.due(now) {
+	if away || s.dry(now) || !s.low() && !(h.Pace != nil && s.short()) && !h.unguarded(s) && !s.due(now) {
 		return false
 	}
 	err := h.refill(ctx, s, 0, now)
--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -69,6 +69,9 @@
 	// Part is how much of an equal part of what is left a share may hold ahead of
 	// need, 0 for all of it. What a process holds is lost when it dies.
 	Part float64
+	// Dry is how long the platform's word that nothing is free is believed, 0 for
+	// dryTime.
+	Dry time.Duration
 }
 
 const (
@@ -83,9 +86,6 @@
 	tickTime = 250 * time.Millisecond
 	// dryTime is how long the platform's word that nothing is free is believed.
 	dryTime = 250 * time.Millisecond
-	// dryTimeHeld is the same where the policy bounds what all shares hold, so
-	// that little comes back.
-	dryTimeHeld = time.Second
 	// scarceTime is how long a budget counts as scarce after the platform had
 	// nothing free; then this holder looks again by itself.
 	scarceTime = 5 * time.Second
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -176,18 +176,31 @@
 }
 
 // NewHolder returns an escrow holder without shares.
-func NewHolder(p node.Process, g *books.Groups, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
+func NewHolder(p node.Process, g *books.Groups, t *member.Table, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
 	h := escrow.NewHolder(string(p), g.Platform(), c.Escrow(), func(err error) {
 		set.GetOrCreateCounter("jacinthladder_broken_rules_total").Inc()
 		logger.WithError(err).Error("escrow: a rule would be broken, the share refuses from now on")
 	})
-	h.Pace = paceTime
+	h.Pace = func() time.Duration { return pace(t.Others() + 1) }
 	return h
 }
 
-// paceTime is the least time between two rounds of refills: short against the
-// time that shares endure, long against a call to the platform.
-const paceTime = 900 * time.Millisecond
+const (
+	// paceTime is the least time between two rounds of refills in a small fleet:
+	// short against the time that shares endure, long against a call to the
+	// platform.
+	paceTime = 900 * time.Millisecond
+	// paceFleet is the size up to which a fleet counts as small. In a larger one
+	// rounds are rarer, so that all instances together make as many calls.
+	paceFleet = 6
+	// paceMost keeps rounds well within the time that shares endure.
+	paceMost = 4 * time.Second
+)
+
+// pace returns the least time between two rounds of refills in a fleet of a size.
+func pace(fleet int) time.Duration {
+	return min(paceTime*time.Duration(max(fleet, paceFleet))/paceFleet, paceMost)
+}
 
 // NewGroups returns the budgets on the platform.
 func NewGroups(s *setup.Settings, store *object.Store) *books.Groups {
@@ -195,9 +208,9 @@
 }
 
 // NewPurse returns what reserves tokens.
-func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups) *purse.Purse {
+func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups, t *member.Table) *purse.Purse {
 	p := &purse.Purse{
-		Holder: h,
+		Holder: h, Dry: func() time.Duration { return pace(t.Others() + 1) },
 		Pay:    g.PayUp,
 	}
 	p.SetEndure(time.Duration(s.Forward().Endure))
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -37,6 +37,8 @@
 type Purse struct {
 	// Holder keeps this instance's shares.
 	Holder *escrow.Holder
+	// Dry returns how long a book that has nothing free is believed.
+	Dry func() time.Duration
 	// Pay makes a budget count at least total as paid in.
 	Pay func(ctx context.Context, budget string, total int64) error
 
@@ -53,6 +55,7 @@
 		Start:  int64(float64(a.Prepaid) * startShare),
 		Floor:  int64(float64(a.Prepaid) * floorShare),
 		Part:   heldPart,
+		Dry:    p.Dry(),
 	}
 }
 
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -83,7 +83,7 @@
 		Read:  func(context.Context, string) (*escrow.Book, int64, error) { return w.book, 1, nil },
 		Write: func(_ context.Context, _ string, _ int64, b *escrow.Book) error { w.book = b; return nil },
 	}, escrow.Peers{}, func(err error) { t.Error(err) })
-	w.purse = &purse.Purse{Holder: holder}
+	w.purse = &purse.Purse{Holder: holder, Dry: func() time.Duration { return time.Second }}
 	window := &retry.Window{Span: 10 * time.Second}
 	window.Bound(0, 100)
 	w.server = &Server{
