--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -27,6 +27,8 @@
 	reserveTime = 120 * time.Millisecond
 	// defaultBody bounds a body while no configuration does.
 	defaultBody = 4 << 20
+	// defaultWait bounds a request that neither its route nor its caller bounds.
+	defaultWait = time.Minute
 	// unreadyTime is when callers are told to come back to an instance that has
 	// no configuration yet.
 	unreadyTime = 300 * time.Millisecond
@@ -144,6 +146,9 @@
 	if d := x.request.Deadline; d > 0 && (wait == 0 || d < wait) {
 		wait = d
 	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
 	x.until = x.begun.Add(wait)
 	return nil
 }
