place: send shared prompts to one home for all instances

All instances now prefer the same endpoint for the same shared part unless it is busy, and a kilobyte to another zone weighs what it costs.

--- a/internal/forward/live/board.go
+++ b/internal/forward/live/board.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"jacinthladder.dev/coord/subset"
 	"jacinthladder.dev/internal/forward/meta"
 	"jacinthladder.dev/internal/forward/place"
 )
@@ -214,6 +215,8 @@
 func (b *Board) Choose(a Ask, now time.Time) *Lease {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	shared, key := sharedParts(a.Request.Parts)
+	home := b.home(a.Service, key)
 	var free []*state
 	var candidates []place.Candidate
 	for _, s := range b.list[a.Service] {
@@ -223,13 +226,14 @@
 		free = append(free, s)
 		candidates = append(candidates, place.Candidate{
 			Slots: s.Slots, Running: s.running, Waiting: s.waiting, Cached: s.parts.cached(a.Request.Parts),
+			Home: s == home,
 			Fails: s.failing(now), Far: s.Zone != b.zone, Cold: now.Before(s.cold), Ejected: now.Before(s.until),
 		})
 	}
 	if len(free) == 0 {
 		return nil
 	}
-	i := place.Choose(place.Need{Prompt: a.Request.Prompt, Bytes: a.Bytes}, candidates, rand.IntN(len(free)))
+	i := place.Choose(place.Need{Prompt: a.Request.Prompt, Shared: shared, Bytes: a.Bytes}, candidates, rand.IntN(len(free)))
 	if i < 0 {
 		return nil
 	}
@@ -241,6 +245,32 @@
 	return l
 }
 
+// sharedParts returns the tokens of the parts of a prompt that other requests have
+// too, all but the last, and the ID of the last of these.
+func sharedParts(parts []meta.Part) (tokens int64, key string) {
+	for i := range len(parts) - 1 {
+		tokens += parts[i].Tokens
+		key = parts[i].ID
+	}
+	return tokens, key
+}
+
+// home returns the endpoint that all instances prefer for a shared part, nil
+// without one. With the lock held.
+func (b *Board) home(service, key string) *state {
+	var best *state
+	var top uint64
+	if key == "" {
+		return nil
+	}
+	for _, s := range b.list[service] {
+		if score := subset.Score(key, s.ID); best == nil || score > top {
+			best, top = s, score
+		}
+	}
+	return best
+}
+
 // Begin notes that the engine has read the prompt.
 func (l *Lease) Begin() {
 	l.board.mu.Lock()
--- a/internal/forward/place/place.go
+++ b/internal/forward/place/place.go
@@ -7,10 +7,11 @@
 	readTime = 15 * time.Microsecond
 	// stepTime is by how much one running request slows the others at an engine.
 	stepTime = 150 * time.Microsecond
-	// farTime is what sending one kilobyte to another zone weighs.
-	farTime = 3 * time.Millisecond
+	// farTime is what sending one kilobyte to another zone weighs: about the price
+	// of reading 25 prompt tokens again.
+	farTime = 400 * time.Microsecond
 	// farLeast is what leaving the zone weighs whatever the size.
-	farLeast = 10 * time.Millisecond
+	farLeast = 6 * time.Millisecond
 	// failTime is what a share of failures of 1 weighs.
 	failTime = 2 * time.Second
 	// fillTime is what a plain endpoint that is full weighs.
@@ -19,9 +20,14 @@
 	coldTime = 100 * time.Millisecond
 )
 
+// homeShare is the part of the shared prompt that the home of these parts is taken
+// to have, as other instances send there too.
+const homeShare = 0.9
+
 // Need is what a request asks of an endpoint.
 type Need struct {
 	Prompt int64 // tokens to read, 0 for plain services
+	Shared int64 // those of them in parts that other requests have too
 	Bytes  int   // that go to the endpoint and back, roughly
 }
 
@@ -31,6 +37,7 @@
 	Running int   // requests of this instance
 	Waiting int64 // prompt tokens of this instance's requests yet to be read
 	Cached  int64 // prompt tokens of this request that the engine still has
+	Home    bool  // where all instances send prompts with these shared parts
 	Fails   float64
 	Far     bool // in another zone
 	Cold    bool // started not long ago
@@ -41,7 +48,11 @@
 func Delay(n Need, c Candidate) time.Duration {
 	d := time.Duration(c.Fails * float64(failTime))
 	if n.Prompt > 0 {
-		d += time.Duration(c.Waiting+max(n.Prompt-c.Cached, 0)) * readTime
+		cached := c.Cached
+		if c.Home {
+			cached = max(cached, int64(homeShare*float64(n.Shared)))
+		}
+		d += time.Duration(c.Waiting+max(n.Prompt-cached, 0)) * readTime
 		d += time.Duration(c.Running) * stepTime
 	} else if c.Slots > 0 {
 		d += time.Duration(float64(fillTime) * float64(c.Running) / float64(c.Slots))
