books: merge edits of a budget into what is written, one of each budget in a batch

Cause: refills of many holders conflicted on every try. An edit is now applied to the book as it stands, again after each conflict. A batch now holds one change of a budget; TestEditsSeeOnlyWhatIsWritten failed before.

--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -26,6 +26,11 @@
 	Read func(ctx context.Context, budget string) (*Book, int64, error)
 	// Write replaces a book if its version is unchanged.
 	Write func(ctx context.Context, budget string, version int64, b *Book) error
+	// Update, if it is set, takes the place of Read and Write for shares without
+	// witnesses: it applies edit to the book as it stands, again after each
+	// conflict, and writes the book if edit says so. Edit may run often, and only
+	// what it did last counts.
+	Update func(ctx context.Context, budget string, edit func(b *Book) (changed bool, err error)) error
 }
 
 // Raised is one share's new mark.
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// syncTries bounds the conflicts that one synchronisation takes.
-const syncTries = 12
+const (
+	// syncTries bounds the conflicts that one synchronisation takes.
+	syncTries = 12
+	// spreadTime is the most that the first conflict delays one, where refills
+	// come in rounds. It doubles with each conflict, spreadShifts times.
+	spreadTime   = 30 * time.Millisecond
+	spreadShifts = 4
+)
 
 // mode says what a synchronisation does to the row.
 type mode int
@@ -38,7 +45,7 @@
 // conflict, with the gate held. An unknown outcome is an error here; as all
 // counters only rise, the next update puts it right.
 func (h *Holder) update(ctx context.Context, s *Share, need int64, m mode) error {
-	for range syncTries {
+	for try := range syncTries {
 		err := h.try(ctx, s, need, m)
 		if err == nil {
 			return nil
@@ -49,15 +56,32 @@
 			s.mu.Unlock()
 			return err
 		}
+		if h.Pace != nil {
+			h.spread(ctx, try)
+		}
 	}
 	return ErrConflict
 }
 
+// spread waits for a random time after a conflict, longer after each, so that many
+// holders of one budget get out of each other's way.
+func (h *Holder) spread(ctx context.Context, try int) {
+	t := time.NewTimer(rand.N(spreadTime << min(try, spreadShifts)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // try reads the book once, and writes it if this share has something to say.
 func (h *Holder) try(ctx context.Context, s *Share, need int64, m mode) error {
 	call, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	began := time.Now()
+	if h.platform.Update != nil && s.treatment().Alone == 0 {
+		return h.merge(call, s, need, m, began)
+	}
 	b, version, err := h.platform.Read(call, s.budget)
 	if err != nil {
 		return err
@@ -98,6 +122,39 @@
 	return p == h.process || !h.silent(p)
 }
 
+// merge brings the share's row in line by an edit of the book as it stands.
+func (h *Holder) merge(ctx context.Context, s *Share, need int64, m mode, began time.Time) error {
+	var after *Book
+	err := h.platform.Update(ctx, s.budget, func(b *Book) (bool, error) {
+		after = b
+		s.absorb(b, began)
+		if s.isEnded(b) {
+			return false, nil
+		}
+		if m == refillRow {
+			if s.isSealed() {
+				h.retire(s)
+				return false, ErrSealed
+			}
+			b.bury(h.process)
+			s.wishFor(b.Free(), h.beyondReach(b))
+		}
+		if !s.edit(b, need, m, h.alive) {
+			return false, nil
+		}
+		b.fold()
+		if err := b.Check(); err != nil {
+			h.report(err)
+			return false, err
+		}
+		return true, nil
+	})
+	if err == nil && after != nil {
+		s.absorb(after, began)
+	}
+	return err
+}
+
 func (h *Holder) report(err error) {
 	if h.fault != nil {
 		h.fault(err)
--- a/internal/fleet/books/books.go
+++ b/internal/fleet/books/books.go
@@ -73,25 +73,3 @@
 		}
 	}
 }
-
-// payUp makes a budget count at least total as paid in. The budget is named after
-// its account, and made if need be.
-func payUp(ctx context.Context, p escrow.Platform, budget string, total int64) error {
-	for {
-		b, version, err := p.Read(ctx, budget)
-		if errors.Is(err, escrow.ErrMissing) {
-			b, version, err = escrow.NewBook(budget), 0, nil
-		}
-		if err != nil {
-			return err
-		}
-		changed, err := b.PayUp(total)
-		if err != nil || !changed && version > 0 {
-			return err
-		}
-		err = p.Write(ctx, budget, version, b)
-		if !errors.Is(err, escrow.ErrConflict) {
-			return err
-		}
-	}
-}
--- a/internal/fleet/books/group.go
+++ b/internal/fleet/books/group.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +26,10 @@
 	recentTime = 100 * time.Millisecond
 	// callTime bounds the calls of one batch.
 	callTime = 1500 * time.Millisecond
+	// conflictTime is the most that the first conflict delays a batch; it doubles
+	// with each, conflictShifts times, so that many writers spread out.
+	conflictTime   = 20 * time.Millisecond
+	conflictShifts = 4
 	// groupTries bounds the conflicts that one batch of writes takes.
 	groupTries = 10
 )
@@ -48,7 +54,7 @@
 
 // Platform returns the groups as an escrow holder sees them.
 func (g *Groups) Platform() escrow.Platform {
-	return escrow.Platform{Read: g.Read, Write: g.Write}
+	return escrow.Platform{Read: g.Read, Write: g.Write, Update: g.Update}
 }
 
 func (g *Groups) of(budget string) *group {
@@ -74,16 +80,36 @@
 
 // Write replaces a budget whose version is unchanged, 0 for a new one.
 func (g *Groups) Write(ctx context.Context, budget string, version int64, b *escrow.Book) error {
-	data, err := json.Marshal(b)
-	if err != nil {
-		return errors.Wrapf(err, "budget %s", budget)
-	}
-	return g.of(budget).write(ctx, change{budget: budget, version: version, book: data})
+	return g.of(budget).write(ctx, &change{budget: budget, edit: func(now int64, book *escrow.Book) (bool, error) {
+		if now != version {
+			return false, errors.Wrap(escrow.ErrConflict, budget)
+		}
+		*book = *b
+		return true, nil
+	}})
+}
+
+// Update applies edit to a budget as it stands, again after each conflict, and
+// writes it if edit says so.
+func (g *Groups) Update(ctx context.Context, budget string, edit func(b *escrow.Book) (bool, error)) error {
+	return g.of(budget).write(ctx, &change{budget: budget, edit: func(now int64, b *escrow.Book) (bool, error) {
+		if now == 0 {
+			return false, errors.Wrap(escrow.ErrMissing, budget)
+		}
+		return edit(b)
+	}})
 }
 
-// PayUp makes a budget count at least total as paid in, and makes it if need be.
+// PayUp makes a budget count at least total as paid in. The budget is named after
+// its account, and made if need be.
 func (g *Groups) PayUp(ctx context.Context, budget string, total int64) error {
-	return payUp(ctx, g.Platform(), budget, total)
+	return g.of(budget).write(ctx, &change{budget: budget, edit: func(now int64, b *escrow.Book) (bool, error) {
+		if now == 0 {
+			*b = *escrow.NewBook(budget)
+		}
+		changed, err := b.PayUp(total)
+		return changed || now == 0, err
+	}})
 }
 
 // groupText is a group as the platform keeps it.
@@ -96,10 +122,34 @@
 	Book    json.RawMessage `json:"book"`
 }
 
+// change is an edit of one budget, which is told the budget's version, 0 if it does
+// not exist.
 type change struct {
-	budget  string
-	version int64
-	book    json.RawMessage
+	budget string
+	edit   func(version int64, b *escrow.Book) (bool, error)
+	err    error
+}
+
+// apply runs the edit on a group and reports whether the group has changed.
+func (c *change) apply(text groupText) bool {
+	e := text.Books[c.budget]
+	b := &escrow.Book{}
+	if e.Version > 0 {
+		if c.err = json.Unmarshal(e.Book, b); c.err != nil {
+			return false
+		}
+	}
+	var changed bool
+	if changed, c.err = c.edit(e.Version, b); c.err != nil || !changed {
+		return false
+	}
+	data, err := json.Marshal(b)
+	if err != nil {
+		c.err = errors.Wrapf(err, "budget %s", c.budget)
+		return false
+	}
+	text.Books[c.budget] = entryText{Version: e.Version + 1, Book: data}
+	return true
 }
 
 // group is one object. Reads that wait share the next call, and so do writes.
@@ -125,8 +175,7 @@
 
 type writing struct {
 	done    chan struct{}
-	changes []change
-	errs    []error
+	changes []*change
 }
 
 // read returns the group as it is after the call.
@@ -146,9 +195,7 @@
 		var version int64
 		r.text, version, r.err = g.fetch(call)
 		if r.err == nil {
-			g.mu.Lock()
-			g.text, g.version, g.readAt = r.text, version, time.Now()
-			g.mu.Unlock()
+			g.keep(r.text, version)
 		}
 		close(r.done)
 		return r.text, r.err
@@ -162,72 +209,106 @@
 	}
 }
 
-// write writes a change together with others, and returns how it ended.
-func (g *group) write(ctx context.Context, c change) error {
+// write writes a change together with others, and returns how it ended. A batch
+// holds one change of a budget: an edit must see only what is on the platform, not
+// what another edit would make of it if its batch is written.
+func (g *group) write(ctx context.Context, c *change) error {
+	for {
+		w, first, joined := g.join(c)
+		if first {
+			g.lead(ctx, w)
+		}
+		select {
+		case <-w.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if joined {
+			return c.err
+		}
+	}
+}
+
+// join adds a change to the batch that waits, a new one if there is none. First
+// says that the caller is to write the batch, joined that the change is part of it.
+func (g *group) join(c *change) (w *writing, first, joined bool) {
 	g.mu.Lock()
-	w := g.writing
-	first := w == nil
-	if first {
-		w = &writing{done: make(chan struct{})}
-		g.writing = w
+	defer g.mu.Unlock()
+	if g.writing == nil {
+		g.writing = &writing{done: make(chan struct{})}
+		first = true
+	}
+	w = g.writing
+	if slices.ContainsFunc(w.changes, func(o *change) bool { return o.budget == c.budget }) {
+		return w, false, false
 	}
-	at := len(w.changes)
 	w.changes = append(w.changes, c)
+	return w, first, true
+}
+
+// lead writes a batch once others had time to join it.
+func (g *group) lead(ctx context.Context, w *writing) {
+	pause(ctx)
+	g.busy.Lock()
+	defer g.busy.Unlock()
+	g.mu.Lock()
+	g.writing = nil
 	g.mu.Unlock()
-	if first {
-		pause(ctx)
-		g.busy.Lock()
-		g.mu.Lock()
-		g.writing = nil
-		g.mu.Unlock()
-		w.errs = g.commit(ctx, w.changes)
-		g.busy.Unlock()
-		close(w.done)
-	}
-	select {
-	case <-w.done:
-		return w.errs[at]
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	g.commit(ctx, w.changes)
+	close(w.done)
 }
 
-// commit writes changes to the platform, those that still can be.
-func (g *group) commit(ctx context.Context, changes []change) []error {
-	errs := make([]error, len(changes))
+// commit applies changes to the group and writes it, again after each conflict.
+// How each ended is in its err.
+func (g *group) commit(ctx context.Context, changes []*change) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
 	defer cancel()
 	for try := range groupTries {
 		text, version, err := g.latest(ctx, try == 0)
 		if err != nil {
-			return all(errs, err)
+			fail(changes, err)
+			return
 		}
-		fit := 0
-		for i, c := range changes {
-			if errs[i] == nil && text.Books[c.budget].Version != c.version {
-				errs[i] = errors.Wrap(escrow.ErrConflict, c.budget)
-			}
-			if errs[i] == nil {
-				text.Books[c.budget] = entryText{Version: c.version + 1, Book: c.book}
-				fit++
-			}
+		changed := false
+		for _, c := range changes {
+			changed = c.apply(text) || changed
 		}
-		if fit == 0 {
-			return errs
+		if !changed {
+			return
 		}
 		data, err := json.Marshal(text)
 		if err != nil {
-			return all(errs, err)
+			fail(changes, err)
+			return
 		}
-		_, err = g.store.Put(ctx, GroupKind, g.name, version, data)
+		written, err := g.store.Put(ctx, GroupKind, g.name, version, data)
 		if err == nil {
-			return errs
+			g.keep(text, written)
+			return
 		}
 		if !errors.Is(err, object.ErrConflict) {
-			return all(errs, err)
+			fail(changes, err)
+			return
+		}
+		sleep(ctx, rand.N(conflictTime<<min(try, conflictShifts)))
+	}
+	fail(changes, escrow.ErrConflict)
+}
+
+// keep remembers the group as it is now.
+func (g *group) keep(text groupText, version int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.text, g.version, g.readAt = text, version, time.Now()
+}
+
+// fail ends the changes that have not failed by themselves.
+func fail(changes []*change, err error) {
+	for _, c := range changes {
+		if c.err == nil {
+			c.err = err
 		}
 	}
-	return all(errs, escrow.ErrConflict)
 }
 
 // latest returns the group for a change: as it was read a moment ago, if it was and
@@ -242,16 +323,6 @@
 	return g.fetch(ctx)
 }
 
-// all returns errs with err for each that has none.
-func all(errs []error, err error) []error {
-	for i := range errs {
-		if errs[i] == nil {
-			errs[i] = err
-		}
-	}
-	return errs
-}
-
 func (g *group) fetch(ctx context.Context) (groupText, int64, error) {
 	text := groupText{}
 	o, err := g.store.Get(ctx, GroupKind, g.name)
@@ -271,9 +342,12 @@
 }
 
 // pause lets others join a call.
-func pause(ctx context.Context) {
+func pause(ctx context.Context) { sleep(ctx, gatherTime) }
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(gatherTime):
+	case <-time.After(d):
 	}
 }
--- a/internal/fleet/books/group_test.go
+++ b/internal/fleet/books/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	value   []byte
 	version int64
 	calls   int
+	reject  int  // so many writes conflict
 	lose    bool // the next write takes effect, and its answer is lost
 }
 
@@ -40,7 +42,8 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.calls++
-			if version != s.version {
+			s.reject--
+			if version != s.version || s.reject >= 0 {
 				return 0, object.ErrConflict
 			}
 			s.value = value
@@ -126,3 +129,50 @@
 		}
 	})
 }
+
+// An edit sees only what is on the platform: never what another edit of the same
+// budget, in a batch that fails, would have made of it.
+func TestEditsSeeOnlyWhatIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &shelf{}
+		g := NewGroups(s.store(), 1)
+		if err := g.PayUp(t.Context(), "x", 100); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		s.reject = 3
+		var work sync.WaitGroup
+		for i := range 4 {
+			work.Go(func() {
+				err := g.Update(t.Context(), "x", func(b *escrow.Book) (bool, error) {
+					written := &escrow.Book{}
+					if err := json.Unmarshal(s.book("x"), written); err != nil {
+						return false, err
+					}
+					if b.Paid() != written.Paid() {
+						t.Errorf("edit %d sees %d paid in, the platform has %d", i, b.Paid(), written.Paid())
+					}
+					return b.PayUp(b.Paid() + 10)
+				})
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		work.Wait()
+		if b, _, err := g.Read(t.Context(), "x"); err != nil || b.Paid() != 140 {
+			t.Errorf("%v, %v: want 140 paid in", b, err)
+		}
+	})
+}
+
+// book returns a budget as the platform has it.
+func (s *shelf) book(budget string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := groupText{}
+	if err := json.Unmarshal(s.value, &text); err != nil {
+		return nil
+	}
+	return text.Books[budget].Book
+}
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -199,7 +200,8 @@
 
 // pace returns the least time between two rounds of refills in a fleet of a size.
 func pace(fleet int) time.Duration {
-	return min(paceTime*time.Duration(max(fleet, paceFleet))/paceFleet, paceMost)
+	d := min(paceTime*time.Duration(max(fleet, paceFleet))/paceFleet, paceMost)
+	return d - d/8 + rand.N(d/4) // instances that start together drift apart
 }
 
 // NewGroups returns the budgets on the platform.
@@ -211,7 +213,7 @@
 func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups, t *member.Table) *purse.Purse {
 	p := &purse.Purse{
 		Holder: h, Dry: func() time.Duration { return pace(t.Others() + 1) },
-		Pay:    g.PayUp,
+		Pay: g.PayUp,
 	}
 	p.SetEndure(time.Duration(s.Forward().Endure))
 	return p
--- a/internal/forward/live/board.go
+++ b/internal/forward/live/board.go
@@ -226,7 +226,7 @@
 		free = append(free, s)
 		candidates = append(candidates, place.Candidate{
 			Slots: s.Slots, Running: s.running, Waiting: s.waiting, Cached: s.parts.cached(a.Request.Parts),
-			Home: s == home,
+			Home:  s == home,
 			Fails: s.failing(now), Far: s.Zone != b.zone, Cold: now.Before(s.cold), Ejected: now.Before(s.until),
 		})
 	}
