--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -50,9 +50,8 @@
 	Ratio  float64    `json:"ratio"`
 	Extra  float64    `json:"extra"`
 	Window jsonc.Span `json:"window"`
-	// Groups is the number of objects that the platform's budgets are spread over,
-	// the same on all instances.
-	Groups int `json:"groups"`
+	// Writes is how many writes a second the platform takes from the whole fleet.
+	Writes int `json:"writes"`
 	// Megabytes is the memory that the process may use.
 	Megabytes int64 `json:"megabytes"`
 }
@@ -185,8 +184,8 @@
 		return "forward", "window must be more than 0"
 	case f.Ratio < 0 || f.Extra < 0:
 		return "forward", "ratio and extra must not be negative"
-	case f.Groups < 0:
-		return "forward", "groups must not be negative"
+	case f.Writes < 0:
+		return "forward", "writes must not be negative"
 	case f.Megabytes < 0:
 		return "forward", "megabytes must not be negative"
 	}
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -204,9 +204,14 @@
 	return d - d/8 + rand.N(d/4) // instances that start together drift apart
 }
 
+// writesPerGroup is how many writes a second of the platform's rate stand for one
+// object of budgets. Writers of one object get in each other's way, so a platform
+// for a larger fleet has more of them; all instances must agree on the number.
+const writesPerGroup = 100
+
 // NewGroups returns the budgets on the platform.
 func NewGroups(s *setup.Settings, store *object.Store) *books.Groups {
-	return books.NewGroups(store, s.Forward().Groups)
+	return books.NewGroups(store, s.Forward().Writes/writesPerGroup)
 }
 
 // NewPurse returns what reserves tokens.
