--- a/cmd/jacinthladder/forward.go
+++ b/cmd/jacinthladder/forward.go
@@ -40,14 +40,16 @@
 	defer work.Wait()
 	defer end()
 	logger := &log.Logger{Level: level, Handler: w}
-	n, err := build.Front(s, logger)
-	if err != nil {
-		return err
-	}
-	watching, stop := context.WithCancel(ctx)
-	work.Go(func() { reload(watching, file, hangups, logger, n.Reload) })
-	defer stop()
-	return untilSignal(ctx, logger, n.Run)
+	return untilSignal(ctx, logger, func(planned, now context.Context) error {
+		n, err := build.Front(s, logger)
+		if err != nil {
+			return err
+		}
+		watching, stop := context.WithCancel(ctx)
+		work.Go(func() { reload(watching, file, hangups, logger, n.Reload) })
+		defer stop()
+		return n.Run(planned, now)
+	})
 }
 
 // reloadTime is how often the settings file is looked at, since it may change
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -76,8 +76,8 @@
 
 // again reports whether the request may go to another endpoint after an error.
 func (x *exchange) again(err error) bool {
-	if errors.Is(err, errUnsent) {
-		return true
+	if errors.Is(err, errUnsent) || errors.Is(err, errSilent) {
+		return true // nothing left, or the retry is taken already
 	}
 	if x.sends >= x.route.Tries {
 		return false
--- a/internal/forward/serve/reply.go
+++ b/internal/forward/serve/reply.go
@@ -207,8 +207,11 @@
 	}
 	p.gap = max(3*x.route.Gap, gapLeast)
 	p.timer = time.AfterFunc(max(x.route.Objective, silentLeast), func() {
-		p.fired.Store(true)
-		conn.Close()
+		// An answer is only given up where another endpoint may be asked.
+		if x.Retries(x.service.Name).Take(time.Now()) {
+			p.fired.Store(true)
+			conn.Close()
+		}
 	})
 	return p
 }
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -38,6 +38,7 @@
 //	gone ID          the endpoint leaves
 //	table            the configuration: route and account lines
 //	request          an HTTP request; prints the answer and what endpoints saw
+//	retries N        no more than N retries from now on
 //	budget ACCOUNT   prints what the account has spent and reserved
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
@@ -55,6 +56,13 @@
 				return ""
 			case "request":
 				return w.request(t, d.Input)
+			case "retries":
+				most, err := strconv.Atoi(d.CmdArgs[0].Key)
+				if err != nil {
+					d.Fatalf(t, "%v", err)
+				}
+				w.window.Bound(0, float64(most))
+				return ""
 			case "budget":
 				f := w.purse.Figures(w.table.Account("key-" + d.CmdArgs[0].Key))
 				return fmt.Sprintf("used %d reserved %d\n", f.Used(), f.Reserved())
@@ -72,6 +80,7 @@
 	table  *route.Table
 	purse  *purse.Purse
 	book   *escrow.Book
+	window *retry.Window
 
 	mu  sync.Mutex
 	saw []string
@@ -86,6 +95,7 @@
 	w.purse = &purse.Purse{Holder: holder, Dry: func() time.Duration { return time.Second }}
 	window := &retry.Window{Span: 10 * time.Second}
 	window.Bound(0, 100)
+	w.window = window
 	w.server = &Server{
 		Table: func() *route.Table { return w.table }, Board: live.NewBoard("ikeja"), Pool: &conns.Pool{}, Purse: w.purse,
 		Retries: func(string) *retry.Window { return window }, Dialect: meta.Plain(),
