--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -52,7 +52,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	Sized  bool // the caller sent a body, even if it is empty
 }
 
 func (r *Request) head() []byte {
--- a/internal/forward/meta/meta.go
+++ b/internal/forward/meta/meta.go
@@ -31,8 +31,6 @@
 	Endpoint string        // the ID of the endpoint that is meant
 	Account  string        // that pays, empty if none
 	LastID   string        // of the last event delivered
-	Rank     int           // priority at the engine, 0 first
-	Ranked   bool          // Rank is to be sent
 }
 
 // Answer is what an endpoint says of its answer beside status and body.
--- a/internal/forward/meta/plain.go
+++ b/internal/forward/meta/plain.go
@@ -17,7 +17,6 @@
 	headerParts    = "Jacinthladder-Parts"    // "ID=TOKENS ID=TOKENS"
 	headerEndpoint = "Jacinthladder-Endpoint"
 	headerAccount  = "Jacinthladder-Account"
-	headerRank     = "Jacinthladder-Rank"
 	headerOutcome  = "Jacinthladder-Outcome"
 	headerLast     = "Last-Event-Id"
 	headerKey      = "Authorization"
@@ -78,7 +77,7 @@
 }
 
 func encodePlain(h http.Header, s Sent) {
-	for _, name := range []string{headerKey, headerEndpoint, headerAccount, headerRank, headerOutcome} {
+	for _, name := range []string{headerKey, headerEndpoint, headerAccount, headerOutcome} {
 		h.Del(name)
 	}
 	h.Set(headerDeadline, max(s.Deadline, time.Millisecond).Truncate(time.Millisecond).String())
@@ -89,7 +88,4 @@
 	if s.LastID != "" {
 		h.Set(headerLast, s.LastID)
 	}
-	if s.Ranked {
-		h.Set(headerRank, strconv.Itoa(s.Rank))
-	}
 }
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -59,11 +59,12 @@
 	}
 }
 
-// Reserve sets amount aside for a request of an account. It fails with an error
+// Reserve sets amount aside for a request of an account; of those that wait, the
+// one of the lowest rank goes first. It fails with an error
 // of package escrow. That a budget is exhausted is only said on a reading of the
 // book that is fresh and shows nothing left for the request.
-func (p *Purse) Reserve(ctx context.Context, a *route.Account, amount int64, wait time.Duration) (escrow.Hold, error) {
-	n := escrow.Need{Amount: amount, Rank: -a.Rank, Wait: wait}
+func (p *Purse) Reserve(ctx context.Context, a *route.Account, amount int64, rank int, wait time.Duration) (escrow.Hold, error) {
+	n := escrow.Need{Amount: amount, Rank: -rank, Wait: wait}
 	h, err := p.Holder.Reserve(ctx, a.Name, p.Policy(a), n)
 	if errors.Is(err, escrow.ErrExhausted) {
 		if free, age := p.Figures(a).Free(); free >= amount || age > freshTime {
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -195,7 +195,7 @@
 		s.Account = x.account.Name
 	}
 	x.Dialect.Encode(h, s)
-	r := &conns.Request{Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, Sized: x.sized}
+	r := &conns.Request{Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body}
 	h.Del("Content-Length")
 	if x.sized || len(x.body) > 0 {
 		h.Set("Content-Length", itoa(len(x.body)))
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -208,7 +208,7 @@
 	if x.account == nil || !x.account.Metered || bound == 0 {
 		return nil
 	}
-	hold, err := x.Purse.Reserve(ctx, x.account, bound, reserveTime)
+	hold, err := x.Purse.Reserve(ctx, x.account, bound, x.rank(), reserveTime)
 	if err == nil {
 		x.hold, x.held = hold, true
 		return nil
@@ -230,6 +230,14 @@
 	}
 }
 
+// rank returns the priority of the request, 0 first.
+func (x *exchange) rank() int {
+	if x.account != nil && x.account.Ranked {
+		return x.account.Rank
+	}
+	return x.route.Rank
+}
+
 // settle ends the reservation at what the request has consumed.
 func (x *exchange) settle() {
 	if !x.held {
