fleet: one pause and one readiness handler for all

Five packages had their own sleep that a context cuts short, and both kinds of instance the same handler for the balancer.

--- a/internal/fleet/books/group.go
+++ b/internal/fleet/books/group.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -186,7 +187,7 @@
 		r = &reading{done: make(chan struct{})}
 		g.reading = r
 		g.mu.Unlock()
-		pause(ctx)
+		gather(ctx)
 		g.mu.Lock()
 		g.reading = nil // whoever comes from here on needs a later call
 		g.mu.Unlock()
@@ -248,7 +249,7 @@
 
 // lead writes a batch once others had time to join it.
 func (g *group) lead(ctx context.Context, w *writing) {
-	pause(ctx)
+	gather(ctx)
 	g.busy.Lock()
 	defer g.busy.Unlock()
 	g.mu.Lock()
@@ -290,7 +291,7 @@
 			fail(changes, err)
 			return
 		}
-		sleep(ctx, rand.N(conflictTime<<min(try, conflictShifts)))
+		pause.For(ctx, rand.N(conflictTime<<min(try, conflictShifts)))
 	}
 	fail(changes, escrow.ErrConflict)
 }
@@ -341,13 +342,5 @@
 	return text, o.Version(), nil
 }
 
-// pause lets others join a call.
-func pause(ctx context.Context) { sleep(ctx, gatherTime) }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
+// gather lets others join a call.
+func gather(ctx context.Context) { pause.For(ctx, gatherTime) }
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -150,25 +151,17 @@
 	b.MaxInterval = 2 * time.Second
 	for ctx.Err() == nil {
 		if !duty() {
-			sleep(ctx, dutyTime)
+			pause.For(ctx, dutyTime)
 			continue
 		}
 		if err := k.pull(ctx, kind, watchTime); err != nil {
-			sleep(ctx, b.NextBackOff())
+			pause.For(ctx, b.NextBackOff())
 			continue
 		}
 		b.Reset()
 	}
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // pull takes in what changed of a kind since the last pull.
 func (k *Keeper) pull(ctx context.Context, kind string, wait time.Duration) error {
 	k.mu.Lock()
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -162,7 +163,7 @@
 		case err == nil:
 			b.Reset()
 			wait = f.wait()
-			sleep(ctx, gatherTime)
+			pause.For(ctx, gatherTime)
 			continue
 		case errors.Is(err, object.ErrExpired):
 			f.relist()
@@ -170,7 +171,7 @@
 			continue
 		}
 		wait = min(wait, probeTime)
-		sleep(ctx, b.NextBackOff())
+		pause.For(ctx, b.NextBackOff())
 	}
 }
 
@@ -263,11 +264,3 @@
 	f.mu.Unlock()
 	f.offer("platform", gone)
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +16,8 @@
 	"jacinthladder.dev/coord/member"
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/fleet/drain"
+	"jacinthladder.dev/internal/fleet/node"
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/fleet/peers"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/live"
@@ -95,7 +96,7 @@
 	} {
 		work.Go(func() { loop(loops) })
 	}
-	ready := n.listen(n.Listeners.ready, &http.Server{Handler: http.HandlerFunc(n.ready)})
+	ready := n.listen(n.Listeners.ready, &http.Server{Handler: node.ServeReady(n.Ready)})
 	own := n.listen(n.Listeners.peers, &http.Server{Handler: n.Server.Handler(), ReadHeaderTimeout: headTime})
 	admin := n.listen(n.Listeners.admin, &http.Server{Handler: http.HandlerFunc(n.page), ReadHeaderTimeout: headTime})
 	n.first(ctx)
@@ -188,14 +189,6 @@
 	}
 }
 
-func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
-	if reason := n.Ready(); reason != "" {
-		http.Error(w, reason, http.StatusServiceUnavailable)
-		return
-	}
-	fmt.Fprintln(w, "ready")
-}
-
 // page shows the metrics.
 func (n *Node) page(w http.ResponseWriter, _ *http.Request) { n.Metrics.WritePrometheus(w) }
 
@@ -242,7 +235,7 @@
 	n.callers.Leave()
 	n.Table.Leave()
 	n.Logger.WithField("open", n.Forwarder.Open()).Info("front: leaving")
-	rest(now, leadTime)
+	pause.For(now, leadTime)
 	grace := time.Duration(n.grace.Load()) - closeTime
 	until, cancel := context.WithDeadline(now, began.Add(grace))
 	defer cancel()
@@ -272,11 +265,3 @@
 	n.Forwarder.Wait()
 	return nil
 }
-
-// rest waits for d, or until ctx ends.
-func rest(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -21,6 +21,7 @@
 	"jacinthladder.dev/internal/entry/settle"
 	"jacinthladder.dev/internal/fleet/config"
 	"jacinthladder.dev/internal/fleet/drain"
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/fleet/peers"
 	"jacinthladder.dev/internal/route/choose"
 	"jacinthladder.dev/internal/route/health"
@@ -252,7 +253,7 @@
 	n.leaving.Store(true)
 	n.table.Leave()
 	n.open.Leave()
-	rest(now, n.settings.Lead())
+	pause.For(now, n.settings.Lead())
 	drain, cancel := context.WithTimeout(now, n.settings.Drain())
 	defer cancel()
 	err := n.drain(drain)
@@ -295,11 +296,3 @@
 		return errors.Wrap(ctx.Err(), "node: attempts were cut off")
 	}
 }
-
-// rest waits for d, or until ctx ends.
-func rest(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/fleet/node/surface.go
+++ b/internal/fleet/node/surface.go
@@ -88,7 +88,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) })
 	m.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "live") })
-	m.HandleFunc("GET /ready", n.ready)
+	m.HandleFunc("GET /ready", ServeReady(n.Ready))
 	m.HandleFunc("GET /shares", n.shares)
 	return m
 }
@@ -105,12 +105,16 @@
 	}
 }
 
-func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
-	if reason := n.Ready(); reason != "" {
-		http.Error(w, reason, http.StatusServiceUnavailable)
-		return
+// ServeReady answers a balancer that asks whether an instance is to get requests;
+// reason says why not, empty if it is.
+func ServeReady(reason func() string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if why := reason(); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
 	}
-	fmt.Fprintln(w, "ready")
 }
 
 type shareText struct {
