--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -23,6 +23,9 @@
 	dutyTime = 500 * time.Millisecond
 )
 
+// kinds are the kinds of object that make up the configuration.
+var kinds = []string{ServiceKind, AccountKind}
+
 type key struct{ kind, name string }
 
 // Keeper keeps the configuration in force. Make one with NewKeeper.
@@ -120,15 +123,15 @@
 	k.Offer(peer, objects)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, kind := range []string{ServiceKind, AccountKind} {
+	for _, kind := range kinds {
 		k.seen[kind] = max(k.seen[kind], complete)
 	}
 }
 
 // Load lists all configuration once.
 func (k *Keeper) Load(ctx context.Context) error {
-	for _, kind := range []string{ServiceKind, AccountKind} {
-		if err := k.pull(ctx, kind, 0); err != nil {
+	for _, kind := range kinds {
+		if _, err := k.pull(ctx, kind, 0); err != nil {
 			return err
 		}
 	}
@@ -139,7 +142,7 @@
 // instance is one of the few that watch.
 func (k *Keeper) Run(ctx context.Context, duty func() bool) {
 	var g sync.WaitGroup
-	for _, kind := range []string{ServiceKind, AccountKind} {
+	for _, kind := range kinds {
 		g.Go(func() { k.watch(ctx, kind, duty) })
 	}
 	g.Wait()
@@ -154,7 +157,7 @@
 			pause.For(ctx, dutyTime)
 			continue
 		}
-		if err := k.pull(ctx, kind, watchTime); err != nil {
+		if err := k.follow(ctx, kind); err != nil {
 			pause.For(ctx, b.NextBackOff())
 			continue
 		}
@@ -162,8 +165,28 @@
 	}
 }
 
-// pull takes in what changed of a kind since the last pull.
-func (k *Keeper) pull(ctx context.Context, kind string, wait time.Duration) error {
+// follow waits for a change of a kind. Peers are told of a version only when
+// it is complete for all kinds, so a change asks for the others at once: their
+// own watches may go on for all of watchTime.
+func (k *Keeper) follow(ctx context.Context, kind string) error {
+	fresh, err := k.pull(ctx, kind, watchTime)
+	if err != nil || !fresh {
+		return err
+	}
+	for _, other := range kinds {
+		if other == kind {
+			continue
+		}
+		if _, err := k.pull(ctx, other, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pull takes in what changed of a kind since the last pull, and reports whether
+// anything is newer than what was in force.
+func (k *Keeper) pull(ctx context.Context, kind string, wait time.Duration) (bool, error) {
 	k.mu.Lock()
 	after := k.seen[kind]
 	k.mu.Unlock()
@@ -171,11 +194,11 @@
 	defer cancel()
 	page, err := k.store.Watch(ctx, kind, after, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
-	k.Offer("platform", page.Objects())
+	fresh := k.Offer("platform", page.Objects())
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.seen[kind] = max(k.seen[kind], page.Version())
-	return nil
+	return fresh, nil
 }
