--- a/internal/entry/flow/keyed.go
+++ b/internal/entry/flow/keyed.go
@@ -103,7 +103,7 @@
 		if !errors.Is(err, peers.ErrStranger) {
 			return err
 		}
-		if f.Owners.Take(ctx, first) {
+		if f.Owners.Take(ctx, first, c.Service().KeepTime()) {
 			break
 		}
 		next := f.Owners.Register(ctx, first, c.Service().KeepTime())
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -74,8 +74,12 @@
 }
 
 // Take takes an attempt over from the process that made it. It reports false
-// if any owner says that another has it.
-func (o *Owners) Take(ctx context.Context, a claim.Attempt) bool {
+// if any owner says that it has ended or that another has it. Owners change with
+// the members known, so one that came later is told of the attempt first.
+func (o *Owners) Take(ctx context.Context, a claim.Attempt, keep time.Duration) bool {
+	if first := o.Register(ctx, a, keep); first.Process != a.Process {
+		return first.Process == o.Process()
+	}
 	return o.all(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_TAKE, Attempt: note(a), To: o.Process()})
 }
 
