--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -26,6 +26,10 @@
 	lookAt    time.Time // when the book was last read to see others' wishes
 	restUntil time.Time // before which no refill ahead of need is worth a try
 
+	member bool      // its home draws for it
+	mates  int       // holders that this one draws for, 0 for itself only
+	tidyAt time.Time // when it last dealt with its home ahead of need
+
 	deniedAt time.Time // when a gatherer last failed
 	denied   int64     // for this amount
 
@@ -53,8 +57,11 @@
 // target returns what the share should hold, with the lock held: what the
 // demand needs for the time to endure, and enough for a start.
 func (s *Share) target() int64 {
+	if s.sync.member {
+		return int64(min(s.flow.demand()*memberTime.Seconds(), MaxPaid))
+	}
 	demand := s.flow.demand() * s.sync.policy.Endure.Seconds()
-	start := s.sync.policy.Start
+	start := s.sync.policy.Start * int64(max(s.sync.mates, 1))
 	if start == 0 {
 		start = startCount * min(s.largest, MaxPaid/startCount)
 	}
--- a/coord/escrow/gather.go
+++ b/coord/escrow/gather.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"jacinthladder.dev/coord/subset"
 )
 
 // When the platform has nothing free, what is left of a budget lies scattered
@@ -25,22 +23,24 @@
 	if h.peers.Near == nil || h.peers.Ask == nil {
 		return h.process
 	}
-	best, top := h.process, subset.Score(budget, h.process)
+	best, top := h.process, h.score(budget, h.process)
 	for _, p := range h.peers.Near() {
-		if score := subset.Score(budget, p); score > top {
+		if score := h.score(budget, p); score > top {
 			best, top = p, score
 		}
 	}
 	return best
 }
 
-// delegate asks the gatherer for what the share lacks, and reserves.
-func (h *Holder) delegate(ctx context.Context, s *Share, process string, n Need, deadline time.Time) (Hold, bool, error) {
-	left := min(max(time.Until(deadline), time.Millisecond), turnTime)
+// delegate asks another process, which may take up to patience, for what the share
+// lacks, and reserves.
+func (h *Holder) delegate(ctx context.Context, s *Share, process string, n Need, deadline time.Time, patience time.Duration) (Hold, bool, error) {
+	left := min(max(time.Until(deadline), time.Millisecond), patience)
 	r, err := h.ask(ctx, s, process, Plea{Need: s.lack(n.Amount), Want: s.wanted(), Wait: left, Rank: n.Rank})
 	if err != nil {
 		return Hold{}, false, errUnreached
 	}
+	s.hear(r)
 	if hold, ok := s.Reserve(n.Amount); ok {
 		return hold, false, nil
 	}
@@ -53,7 +53,7 @@
 		}
 		return Hold{}, r.Waits, ErrExhausted
 	default:
-		return Hold{}, false, errUnreached
+		return Hold{}, false, ErrCutOff
 	}
 }
 
@@ -61,18 +61,42 @@
 // share is far from its end the asker gets more, so that it need not ask for
 // each request.
 func (h *Holder) gather(ctx context.Context, s *Share, p Plea) Reply {
-	n := Need{Amount: p.Need, Rank: p.Rank, Wait: p.Wait, gathered: true}
 	hold, ok := s.Reserve(p.Need)
 	if !ok {
 		var err error
-		if hold, err = h.insist(ctx, s.budget, s.treatment(), n); err != nil {
-			if !is(err, ErrExhausted) {
+		if hold, err = h.insist(ctx, s.budget, s.treatment(), h.asker(p)); err != nil {
+			if !is(err, ErrExhausted) || s.readAge() > wordTime {
 				err = ErrCutOff
 			}
 			return Reply{Why: err, Waits: s.waits(p.Need)}
 		}
 	}
-	return Reply{Gift: hold.share.turnOver(hold, p.From, p.Want-p.Need)}
+	g := hold.share.turnOver(hold, p.From, p.Want-p.Need)
+	return Reply{Gift: g, Room: hold.share.beyond()}
+}
+
+// hear takes in what its home says of a book that the share's holder does not read.
+func (s *Share) hear(r Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sync.member && (r.Why == nil || is(r.Why, ErrExhausted)) {
+		s.sync.free, s.sync.readAt = r.Room, time.Now()
+	}
+}
+
+// readAge returns how old the last reading of the book is.
+func (s *Share) readAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.sync.readAt)
+}
+
+// beyond returns what an asker may still hope for: the share's room, and what the
+// book had free.
+func (s *Share) beyond() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.room(), 0) + max(s.sync.free, 0)
 }
 
 // waits reports whether open reservations could still free amount.
@@ -89,24 +113,17 @@
 	if process == h.process {
 		return false
 	}
-	// An empty plea brings the gatherer's share ID, to which gifts go.
-	to := s.gathererID(process)
-	if to == "" {
-		r, err := h.ask(ctx, s, process, Plea{})
-		if err != nil || r.Gift.From == "" {
-			return true
+	if amount := s.spareAll(); amount > 0 {
+		if err := h.giveTo(ctx, s, process, amount); err != nil {
+			return true // the gift stays set aside, and is repeated
 		}
-		to = r.Gift.From
-	}
-	if g := s.giveIdle(to); g.Total > 0 {
-		h.deliver(ctx, s, g)
 	}
 	return true
 }
 
-// gathererID returns the ID of the process's share, if it has dealt with this
+// dealtWith returns the ID of the process's share, if it has dealt with this
 // one before.
-func (s *Share) gathererID(process string) string {
+func (s *Share) dealtWith(process string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, ids := range []map[string]int64{s.sentTo, s.gotFrom} {
@@ -119,14 +136,12 @@
 	return ""
 }
 
-// giveIdle gives all that the share has room for.
-func (s *Share) giveIdle(to string) Gift {
+// spareAll returns all that the share has room for, 0 while requests wait for it.
+func (s *Share) spareAll() int64 {
 	s.mu.Lock()
-	room := s.room()
-	waiting := len(s.waiters) > 0
-	s.mu.Unlock()
-	if room <= 0 || waiting {
-		return Gift{}
+	defer s.mu.Unlock()
+	if len(s.waiters) > 0 {
+		return 0
 	}
-	return s.give(to, room, 0)
+	return max(s.room(), 0)
 }
--- a/coord/escrow/gift.go
+++ b/coord/escrow/gift.go
@@ -47,6 +47,7 @@
 		room := s.room()
 		amount := min(max(need, min(want, room/2)), room)
 		if amount > 0 {
+			s.dealt(amount)
 			s.sentTo[to] += amount
 			s.sent += amount
 			s.check()
@@ -62,12 +63,21 @@
 	defer s.mu.Unlock()
 	amount := h.amount + max(min(more, s.room()/2-s.floor()), 0)
 	s.reserved -= h.amount
+	s.dealt(amount)
 	s.sentTo[to] += amount
 	s.sent += amount
 	s.check()
 	return Gift{Budget: s.budget, From: s.id, To: to, Total: s.sentTo[to]}
 }
 
+// dealt counts what the home of a budget gives to its mates, or gets back, as
+// demand, with the lock held.
+func (s *Share) dealt(amount int64) {
+	if s.sync.mates > 0 && !s.sync.member {
+		s.flow.add(amount)
+	}
+}
+
 // credit takes a gift in.
 func (s *Share) credit(g Gift) Receipt {
 	s.mu.Lock()
@@ -79,6 +89,9 @@
 	if fresh > 0 && !s.closing {
 		s.gotFrom[g.From] = g.Total
 		s.received += fresh
+		if s.sentTo[g.From] > 0 {
+			s.dealt(-fresh)
+		}
 		s.check()
 		s.wake()
 	}
@@ -99,6 +112,18 @@
 	}
 }
 
+// gotFromAny reports whether a share of the process has given to this one.
+func (s *Share) gotFromAny(process string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.gotFrom {
+		if ProcessOf(id) == process {
+			return true
+		}
+	}
+	return false
+}
+
 // unacked returns the gifts that their receivers have not acknowledged.
 func (s *Share) unacked() []Gift {
 	s.mu.Lock()
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -27,6 +27,7 @@
 	closed bool
 
 	witness Witness
+	shunned shunned
 	kicks   chan *Share
 
 	// Pace returns the least time between two rounds of refills ahead of need, all
@@ -34,6 +35,8 @@
 	// each share as soon as it is low. Set it before Run.
 	Pace  func() time.Duration
 	paced time.Time // when the last round began
+
+	repeated time.Time // when gifts were last repeated
 }
 
 // NewHolder returns a holder for a process whose ID, "name/incarnation", no
@@ -164,17 +167,18 @@
 		s.flow.tick(now)
 		s.mu.Unlock()
 	}
+	own := h.tidyAll(ctx, shares, now)
 	if h.Pace != nil {
-		h.round(ctx, shares, now)
+		h.round(ctx, own, now)
 	} else {
 		away := false
-		for _, s := range shares {
+		for _, s := range own {
 			// One call that fails is enough: the others would fail as slowly.
 			away = h.tend(ctx, s, now, away) || away
 		}
 	}
 	h.raise(ctx, shares)
-	h.repeat(ctx, shares)
+	h.repeat(ctx, shares, now)
 	h.dropSettled(ctx)
 }
 
@@ -215,24 +219,53 @@
 	}
 }
 
-// repeat sends the gifts that are not acknowledged.
-func (h *Holder) repeat(ctx context.Context, shares []*Share) {
-	if h.peers.Give == nil {
+// repeat sends the gifts that are not acknowledged, to all receivers at once. Those
+// that were silent get theirs when they are heard again.
+func (h *Holder) repeat(ctx context.Context, shares []*Share, now time.Time) {
+	least := repeatTime
+	if h.mates() != nil {
+		least = repeatLarge
+	}
+	if h.peers.Give == nil || now.Sub(h.repeated) < least {
 		return
 	}
+	h.repeated = now
+	type debt struct {
+		share *Share
+		gift  Gift
+	}
+	debts := map[string][]debt{}
 	for _, s := range shares {
 		for _, g := range s.unacked() {
-			h.deliver(ctx, s, g)
+			p := ProcessOf(g.To)
+			debts[p] = append(debts[p], debt{s, g})
+		}
+	}
+	var work sync.WaitGroup
+	for p, owed := range debts {
+		if h.silent(p) {
+			continue
 		}
+		work.Go(func() {
+			for _, d := range owed {
+				if err := h.deliver(ctx, d.share, d.gift); err != nil {
+					return // the others would fail as slowly
+				}
+			}
+		})
 	}
+	work.Wait()
 }
 
-func (h *Holder) deliver(ctx context.Context, s *Share, g Gift) {
+// deliver sends a gift. One that fails stays set aside, and is repeated.
+func (h *Holder) deliver(ctx context.Context, s *Share, g Gift) error {
 	call, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	if r, err := h.peers.Give(call, ProcessOf(g.To), g); err == nil {
+	r, err := h.peers.Give(call, ProcessOf(g.To), g)
+	if err == nil {
 		s.settleGift(g.To, r)
 	}
+	return err
 }
 
 // TakeGift credits a gift from a peer.
@@ -308,6 +341,7 @@
 // closeShare ends a share and reports whether its row is closed.
 func (h *Holder) closeShare(ctx context.Context, s *Share) bool {
 	h.collect(ctx, s)
+	h.leaveToHome(ctx, s)
 	if err := s.sync.enter(ctx); err != nil {
 		return false
 	}
@@ -317,6 +351,7 @@
 	busy := s.reserved > 0
 	unused := s.granted == 0 && len(s.gotFrom) == 0 && s.sync.seq == 0
 	s.mu.Unlock()
+	unused = unused || s.silentOnBook()
 	if busy {
 		return false
 	}
@@ -348,12 +383,17 @@
 	}
 }
 
-// collect asks the peers that have given to s for what may be under way.
+// collect asks the peers that may have given to s for what may be under way. In a
+// large fleet that is those that are known to have.
 func (h *Holder) collect(ctx context.Context, s *Share) {
 	if h.peers.Ask == nil || h.peers.Near == nil {
 		return
 	}
+	large := h.mates() != nil
 	for _, p := range h.peers.Near() {
+		if large && !s.gotFromAny(p) {
+			continue
+		}
 		if _, err := h.ask(ctx, s, p, Plea{}); err != nil {
 			continue // what it had under way stays with its sender's row
 		}
--- /dev/null
+++ b/coord/escrow/home.go
@@ -0,0 +1,265 @@
+package escrow
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/coord/subset"
+)
+
+// Where many holders stand in one zone, a row of each would cost the platform a
+// write for each, and small budgets would lie in crumbs that pay for no request.
+// So one of them, the home of the budget, draws for the zone, and the others ask
+// it: for whole amounts when a request is short, ahead of need where the demand is
+// high. They give back what they don't need. Each budget has its own home, so the
+// work is spread. A home that does not answer is passed over for a while; the next
+// one draws for itself, and nothing worse comes of two.
+
+const (
+	// LeastMates is the number of holders in a zone from which one draws for all.
+	LeastMates = 3
+	// homeTime is how long a home is asked to wait at a time, for calls to the
+	// platform that others' writes get in the way of.
+	homeTime = 300 * time.Millisecond
+	// shunTime is how long a home that gave no answer is passed over.
+	shunTime = 2 * time.Second
+	// memberTime is how long what a holder asks its home for ahead of need should
+	// last. Its home is near, and what it holds is lost when it dies.
+	memberTime = 2 * time.Second
+	// tidyTime is the least time between two gifts of what a holder does not need.
+	tidyTime = time.Second
+	// outliveTime is how long a share that was drawn here is kept after its last
+	// draw once another holder is its home.
+	outliveTime = 5 * time.Second
+	// wordTime is how old a reading may be to tell others that nothing is left.
+	wordTime = 2 * time.Second
+)
+
+// shunned are the processes that lately gave no answer. The zero value is ready.
+type shunned struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func (n *shunned) add(process string, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.until == nil {
+		n.until = map[string]time.Time{}
+	}
+	for p, t := range n.until {
+		if now.After(t) {
+			delete(n.until, p)
+		}
+	}
+	n.until[process] = now.Add(shunTime)
+}
+
+func (n *shunned) has(process string, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return now.Before(n.until[process])
+}
+
+// mates returns the processes among which each budget has a home, none if each
+// holder draws for itself.
+func (h *Holder) mates() []string {
+	if h.peers.Mates == nil || h.peers.Ask == nil {
+		return nil
+	}
+	mates := h.peers.Mates()
+	if len(mates) < LeastMates {
+		return nil
+	}
+	return mates
+}
+
+// home returns the process that draws a budget for these mates, this one if there
+// is no other.
+func (h *Holder) home(budget string, mates []string, now time.Time) string {
+	best, top := h.process, uint64(0)
+	for _, p := range mates {
+		if p != h.process && h.shunned.has(p, now) {
+			continue
+		}
+		if score := h.score(budget, p); score > top {
+			best, top = p, score
+		}
+	}
+	return best
+}
+
+// Draws reports whether this process draws a budget on the platform.
+func (h *Holder) Draws(budget string) bool {
+	return h.home(budget, h.mates(), time.Now()) == h.process
+}
+
+// score ranks a process for a budget, the same for all budgets that are drawn
+// together.
+func (h *Holder) score(budget, process string) uint64 {
+	if h.peers.Kin != nil {
+		budget = h.peers.Kin(budget)
+	}
+	return subset.Score(budget, process)
+}
+
+// errOwn means that this holder draws for itself.
+var errOwn = errors.New("escrow: no home but this one")
+
+// fromHome gets what a reservation lacks from the home of its budget. It fails with
+// errOwn or errUnreached where this holder has to go its own ways, with ErrCutOff
+// if the home went its ways in vain.
+func (h *Holder) fromHome(ctx context.Context, s *Share, n Need, deadline time.Time) (hold Hold, open bool, err error) {
+	now := time.Now()
+	process := h.home(s.budget, h.mates(), now)
+	s.belong(process != h.process)
+	if process == h.process || n.gathered {
+		return Hold{}, false, errOwn
+	}
+	hold, open, err = h.delegate(ctx, s, process, n, deadline, homeTime)
+	if is(err, errUnreached, ErrCutOff) {
+		h.shunned.add(process, now)
+	}
+	return hold, open, err
+}
+
+// belong notes whether the share lives on what its home gives it.
+func (s *Share) belong(member bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync.member = member
+}
+
+// tidyAll lets the holder's members ask and give back ahead of need, and returns
+// the shares that this process draws by itself.
+func (h *Holder) tidyAll(ctx context.Context, shares []*Share, now time.Time) []*Share {
+	mates := h.mates()
+	var own []*Share
+	var work sync.WaitGroup
+	for _, s := range shares {
+		process := h.home(s.budget, mates, now)
+		s.muster(process != h.process, len(mates))
+		if process == h.process {
+			own = append(own, s)
+			continue
+		}
+		work.Go(func() { h.tidy(ctx, s, process, now) })
+	}
+	work.Wait()
+	return own
+}
+
+// muster notes who draws, and for how many holders.
+func (s *Share) muster(member bool, mates int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync.member, s.sync.mates = member, mates
+}
+
+// tidy brings a share that its home draws for near its target. One that was drawn
+// here before goes back to the platform whole: its row would count among those
+// that draw.
+func (h *Holder) tidy(ctx context.Context, s *Share, process string, now time.Time) {
+	if s.outlived(now) {
+		h.retire(s)
+		return
+	}
+	var err error
+	switch {
+	case s.low():
+		_, err = h.ask(ctx, s, process, Plea{Want: s.wanted()})
+	case s.unneeded(now) > 0:
+		err = h.giveTo(ctx, s, process, s.unneeded(now))
+	}
+	if err != nil {
+		h.shunned.add(process, now)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync.tidyAt = now
+}
+
+// outlived reports whether the share was drawn here, and not of late.
+func (s *Share) outlived(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sync.written && !s.closing && now.Sub(s.sync.startAt) > outliveTime
+}
+
+// leaveToHome gives what is left of a share that never had a row to its home.
+func (h *Holder) leaveToHome(ctx context.Context, s *Share) {
+	process := h.home(s.budget, h.mates(), time.Now())
+	amount := s.spareAll()
+	if process == h.process || amount == 0 {
+		return
+	}
+	if err := h.giveTo(ctx, s, process, amount); err != nil {
+		h.shunned.add(process, time.Now())
+	}
+}
+
+// silentOnBook reports whether the book knows nothing of the share and needs not to:
+// it has no row, and all that it got is used or given on.
+func (s *Share) silentOnBook() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.granted > 0 || s.sync.seq > 0 || s.idle() > 0 || s.reserved > 0 {
+		return false
+	}
+	for to, sum := range s.sentTo {
+		if sum > s.acked[to] {
+			return false
+		}
+	}
+	return true
+}
+
+// unneeded returns what the share can give back to its home.
+func (s *Share) unneeded(now time.Time) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing || len(s.waiters) > 0 || now.Sub(s.sync.tidyAt) < tidyTime {
+		return 0
+	}
+	return max(s.room()-s.target(), 0)
+}
+
+// giveTo gives amount to a process's share of the same budget. An empty plea
+// brings the share's ID if the two have not dealt with each other before.
+func (h *Holder) giveTo(ctx context.Context, s *Share, process string, amount int64) error {
+	to := s.dealtWith(process)
+	if to == "" {
+		r, err := h.ask(ctx, s, process, Plea{})
+		if err != nil || r.Gift.From == "" {
+			return err
+		}
+		to = r.Gift.From
+	}
+	if g := s.give(to, amount, 0); g.Total > 0 {
+		return h.deliver(ctx, s, g)
+	}
+	return nil
+}
+
+// asker says who asks a peer to gather: this zone's, and others that may hold
+// parts of their own, or one that already asked its home.
+func (h *Holder) asker(plea Plea) Need {
+	return Need{
+		Amount: plea.Need, Rank: plea.Rank, Wait: plea.Wait,
+		gathered: true, mate: slices.Contains(h.mates(), ProcessOf(plea.From)),
+	}
+}
+
+// mayDelegate reports whether a request may be handed on to the gatherer of what
+// is left, process. A request of this holder may, and one of a mate if the gatherer
+// stands in another zone, so that nothing goes round in a circle.
+func (h *Holder) mayDelegate(n Need, process string) bool {
+	if process == h.process {
+		return false
+	}
+	return !n.gathered || n.mate && !slices.Contains(h.mates(), process)
+}
--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -15,6 +15,7 @@
 	Wait   time.Duration // how long it may wait for open reservations to settle
 
 	gathered bool // asked for by a peer: not to be handed on again
+	mate     bool // and that peer is of the own zone
 }
 
 // Reserve sets the amount of n aside. It draws on the platform, then on peers,
@@ -84,6 +85,10 @@
 	if s.exhausted(n.Amount, now) {
 		return Hold{}, false, ErrExhausted
 	}
+	hold, open, homeErr := h.fromHome(ctx, s, n, deadline)
+	if !is(homeErr, errOwn, errUnreached, ErrCutOff) {
+		return hold, open, homeErr
+	}
 	refused := h.draw(ctx, s, n.Amount, now, time.Until(deadline)/2)
 	if is(refused, ErrMissing, ErrSealed) {
 		return Hold{}, false, refused
@@ -97,9 +102,12 @@
 			return hold, false, nil
 		}
 	}
-	if p := h.gatherer(s.budget); p != h.process && !n.gathered {
-		hold, open, err := h.delegate(ctx, s, p, n, deadline)
-		if !is(err, errUnreached) {
+	if is(homeErr, ErrCutOff) {
+		return Hold{}, false, refused // its home has asked the others
+	}
+	if p := h.gatherer(s.budget); h.mayDelegate(n, p) {
+		hold, open, err := h.delegate(ctx, s, p, n, deadline, turnTime)
+		if !is(err, errUnreached, ErrCutOff) {
 			return hold, open, err
 		}
 	}
--- a/coord/escrow/seams.go
+++ b/coord/escrow/seams.go
@@ -44,6 +44,11 @@
 type Peers struct {
 	// Near returns the process IDs of live peers, the nearest first.
 	Near func() []string
+	// Mates returns the process IDs of the live holders among which each budget has
+	// one that draws it for all, this process with them unless it is leaving.
+	Mates func() []string
+	// Kin names what budgets are drawn by the same process, nil for each by itself.
+	Kin func(budget string) string
 	// Ask sends a plea to a process.
 	Ask func(ctx context.Context, process string, p Plea) (Reply, error)
 	// Give delivers a gift to the process of its receiver.
@@ -87,6 +92,10 @@
 	// turnTime is how long a gatherer is asked to wait at a time. A message that
 	// was lost costs no more than that and askTime.
 	turnTime = 100 * time.Millisecond
+	// repeatTime is the least time between two rounds of gifts that are repeated,
+	// and repeatLarge the same where homes give for each request.
+	repeatTime  = tickTime
+	repeatLarge = time.Second
 	// tickTime is the interval of Run.
 	tickTime = 250 * time.Millisecond
 	// dryTime is how long the platform's word that nothing is free is believed.
--- a/internal/fleet/books/group.go
+++ b/internal/fleet/books/group.go
@@ -62,6 +62,9 @@
 	return g.groups[xxhash.Sum64String(budget)%uint64(len(g.groups))]
 }
 
+// Group returns the name of the object that holds a budget.
+func (g *Groups) Group(budget string) string { return g.of(budget).name }
+
 // Read returns a budget and its version.
 func (g *Groups) Read(ctx context.Context, budget string) (*escrow.Book, int64, error) {
 	text, err := g.of(budget).read(ctx)
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -42,8 +42,12 @@
 	closeTime = 900 * time.Millisecond
 	// sweepTime is how often idle connections are looked through.
 	sweepTime = 500 * time.Millisecond
-	// syncTime is how often budgets that could not be paid in are tried again.
+	// syncTime is how often budgets that could not be paid in are tried again, and
+	// those that this instance has become the home of are looked for.
 	syncTime = 700 * time.Millisecond
+	// meetBeats is how many heartbeats an instance that starts waits for its peers
+	// to make themselves known before it looks which budgets it is the home of.
+	meetBeats = 2
 )
 
 // Parts are what a Node is made of.
@@ -195,18 +199,17 @@
 // pay keeps what is paid into budgets in line with the configuration.
 func (n *Node) pay(ctx context.Context) {
 	paid := map[string]int64{}
+	pause.For(ctx, meetBeats*n.Settings.Beat())
 	for ctx.Err() == nil {
 		changed := n.Feeds.routes.Changed()
-		var again <-chan time.Time
 		if t := n.Rules.Table(); t != nil {
 			if err := n.Purse.Sync(ctx, t, paid); err != nil && ctx.Err() == nil {
 				n.Logger.WithError(err).WithField("version", t.Version()).Warn("budget: can't be paid in yet")
-				again = time.After(syncTime)
 			}
 		}
 		select {
 		case <-changed:
-		case <-again:
+		case <-time.After(syncTime):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -177,12 +177,14 @@
 }
 
 // NewHolder returns an escrow holder without shares.
-func NewHolder(p node.Process, g *books.Groups, t *member.Table, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
-	h := escrow.NewHolder(string(p), g.Platform(), c.Escrow(), func(err error) {
+func NewHolder(p node.Process, g *books.Groups, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
+	reach := c.Escrow()
+	reach.Kin = g.Group
+	h := escrow.NewHolder(string(p), g.Platform(), reach, func(err error) {
 		set.GetOrCreateCounter("jacinthladder_broken_rules_total").Inc()
 		logger.WithError(err).Error("escrow: a rule would be broken, the share refuses from now on")
 	})
-	h.Pace = func() time.Duration { return pace(t.Others() + 1) }
+	h.Pace = func() time.Duration { return pace(c.Drawers()) }
 	return h
 }
 
@@ -191,33 +193,38 @@
 	// short against the time that shares endure, long against a call to the
 	// platform.
 	paceTime = 900 * time.Millisecond
-	// paceFleet is the size up to which a fleet counts as small. In a larger one
-	// rounds are rarer, so that all instances together make as many calls.
+	// paceFleet is the number of instances that draw up to which a fleet counts as
+	// small. In a larger one rounds are rarer, so that all together make as many
+	// calls.
 	paceFleet = 6
 	// paceMost keeps rounds well within the time that shares endure.
 	paceMost = 4 * time.Second
 )
 
-// pace returns the least time between two rounds of refills in a fleet of a size.
-func pace(fleet int) time.Duration {
-	d := min(paceTime*time.Duration(max(fleet, paceFleet))/paceFleet, paceMost)
+// pace returns the least time between two rounds of refills where so many instances
+// draw.
+func pace(drawers int) time.Duration {
+	d := min(paceTime*time.Duration(max(drawers, paceFleet))/paceFleet, paceMost)
 	return d - d/8 + rand.N(d/4) // instances that start together drift apart
 }
 
 // writesPerGroup is how many writes a second of the platform's rate stand for one
 // object of budgets. Writers of one object get in each other's way, so a platform
 // for a larger fleet has more of them; all instances must agree on the number.
-const writesPerGroup = 100
+const writesPerGroup = 300
+
+// leastGroups is the least number of such objects.
+const leastGroups = 4
 
 // NewGroups returns the budgets on the platform.
 func NewGroups(s *setup.Settings, store *object.Store) *books.Groups {
-	return books.NewGroups(store, s.Forward().Writes/writesPerGroup)
+	return books.NewGroups(store, max(s.Forward().Writes/writesPerGroup, leastGroups))
 }
 
 // NewPurse returns what reserves tokens.
-func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups, t *member.Table) *purse.Purse {
+func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups, c *peers.Client) *purse.Purse {
 	p := &purse.Purse{
-		Holder: h, Dry: func() time.Duration { return pace(t.Others() + 1) },
+		Holder: h, Dry: func() time.Duration { return pace(c.Drawers()) },
 		Pay: g.PayUp,
 	}
 	p.SetEndure(time.Duration(s.Forward().Endure))
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -79,6 +79,7 @@
 func (c *Client) Escrow() escrow.Peers {
 	return escrow.Peers{
 		Near:   c.near,
+		Mates:  c.mates,
 		Ask:    c.ask,
 		Give:   c.give,
 		Guards: c.guards,
@@ -96,6 +97,36 @@
 	return names
 }
 
+// mates returns the live processes of the own zone that are not leaving, this one
+// with them.
+func (c *Client) mates() []string {
+	self := c.table.Self()
+	var names []string
+	if !self.Leaving {
+		names = append(names, self.Process)
+	}
+	for _, m := range c.table.Live(time.Now()) {
+		if m.Zone == self.Zone && !m.Leaving {
+			names = append(names, m.Process)
+		}
+	}
+	return names
+}
+
+// Drawers returns how many processes draw a budget on the platform: one in each
+// zone, or all where a zone has too few for that.
+func (c *Client) Drawers() int {
+	live := c.table.Live(time.Now())
+	if len(c.mates()) < escrow.LeastMates {
+		return len(live) + 1
+	}
+	zones := map[string]bool{c.table.Self().Zone: true}
+	for _, m := range live {
+		zones[m.Zone] = true
+	}
+	return len(zones)
+}
+
 // guards picks witnesses: the live members outside the own zone that rank
 // first for this process, then any others.
 func (c *Client) guards() []string {
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		policies[a.Name] = p.Policy(a)
-		if known, ok := paid[a.Name]; ok && known >= a.Prepaid {
+		if known, ok := paid[a.Name]; ok && known >= a.Prepaid || !p.Holder.Draws(a.Name) {
 			continue
 		}
 		work.Go(func() {
