--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -150,15 +150,22 @@
 		case <-ctx.Done():
 			return
 		case s := <-h.kicks:
-			if h.Pace == nil {
-				h.tend(ctx, s, time.Now(), false)
-			}
+			h.answer(ctx, s, time.Now())
 		case now := <-t.C:
 			h.Tick(ctx, now)
 		}
 	}
 }
 
+// answer refills a share that a request found low, from its home if it has one.
+func (h *Holder) answer(ctx context.Context, s *Share, now time.Time) {
+	if process := h.home(s.budget, h.mates(), now); process != h.process {
+		h.tidy(ctx, s, process, now)
+	} else if h.Pace == nil {
+		h.tend(ctx, s, now, false)
+	}
+}
+
 // Tick does once what Run does again and again.
 func (h *Holder) Tick(ctx context.Context, now time.Time) {
 	shares := h.Shares()
@@ -283,6 +290,9 @@
 	h.mu.RLock()
 	s := h.shares[p.Budget]
 	h.mu.RUnlock()
+	if s == nil && p.Wait > 0 {
+		s = h.openFor(p.Budget)
+	}
 	if s == nil {
 		return Reply{Why: ErrCutOff}
 	}
--- a/coord/escrow/home.go
+++ b/coord/escrow/home.go
@@ -245,6 +245,18 @@
 	return nil
 }
 
+// openFor opens the share of a budget that a peer asks this process, its home, for.
+// It returns nil if this holder has not been told of the budget.
+func (h *Holder) openFor(budget string) *Share {
+	h.mu.RLock()
+	policy, ok := h.policy[budget]
+	h.mu.RUnlock()
+	if !ok || h.mates() == nil {
+		return nil
+	}
+	return h.Share(budget, policy)
+}
+
 // asker says who asks a peer to gather: this zone's, and others that may hold
 // parts of their own, or one that already asked its home.
 func (h *Holder) asker(plea Plea) Need {
--- /dev/null
+++ b/coord/escrow/home_test.go
@@ -0,0 +1,182 @@
+package escrow
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// settled is a policy like that of a fleet: enough for seconds, and a start.
+var settled = Policy{Endure: 5 * time.Second, Start: 2_000, Floor: 200, Part: 0.5, Dry: time.Second}
+
+// largeWorld is a fleet of eight in each of two zones.
+func largeWorld(seed uint64) *world {
+	var zones []string
+	for i := range 16 {
+		zones = append(zones, fmt.Sprint("zone-", i%2))
+	}
+	w := newWorld(seed, zones, settled)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.homes = true
+	for _, p := range w.procs {
+		p.holder.Configure(map[string]Policy{testBudget: w.policy})
+	}
+	return w
+}
+
+// TestHomesDrawForTheirZones spends from all of a large fleet. Two holders draw, one
+// in each zone, so the platform sees few writes, and all of the budget can be
+// spent but for crumbs.
+func TestHomesDrawForTheirZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := largeWorld(1)
+		w.topUp("t", 400_000)
+		const bound, used, requests = 900, 500, 1000
+		for n := range requests {
+			w.open.Go(func() { w.request(n%16, bound, used, time.Second, 50*time.Millisecond) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.open.Wait()
+		b, _ := w.read()
+		if rows := len(b.Holders()); rows > 2 {
+			t.Errorf("%d holders have a row, want one in each zone: %v", rows, b.Holders())
+		}
+		const mostWrites = 60 // over 10 s: two homes, a few a second each
+		if w.writes > mostWrites {
+			t.Errorf("%d writes for %d requests", w.writes, requests)
+		}
+		if spent := w.truth.used; spent < 97*w.naive.paid/100 {
+			t.Errorf("%d of %d could be spent; %d refused, %d falsely", spent, w.naive.paid, w.refused, w.falsely)
+		}
+		if err := w.finish(); err != nil {
+			t.Error(err)
+		}
+		check(t, w)
+	})
+}
+
+// TestHomeIsPassedOver kills a budget's homes one after another while their mates
+// serve. The next one draws, and nobody who asks then is refused.
+func TestHomeIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := largeWorld(2)
+		w.topUp("t", 1_000_000_000)
+		serve(w, 200)
+		for range 3 {
+			home := w.homeOf("zone-0")
+			w.crash(home)
+			refused := w.refused
+			serve(w, 200)
+			if w.refused > refused {
+				t.Errorf("%d requests were refused after entry-%d died", w.refused-refused, home)
+			}
+		}
+		if err := w.finish(); err != nil {
+			t.Error(err)
+		}
+		check(t, w)
+	})
+}
+
+// TestZoneServesWithoutItsPlatform cuts a zone off from the platform and the other
+// zone. What its home holds serves its mates.
+func TestZoneServesWithoutItsPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := largeWorld(3)
+		w.topUp("t", 1_000_000)
+		serve(w, 1000)
+		time.Sleep(time.Second)
+		w.off["zone-0"] = true
+		w.cut[[2]string{"zone-0", "zone-1"}] = true
+		refused := w.refused
+		serve(w, 300) // for 3 s, shorter than shares endure
+		if w.refused > refused {
+			t.Errorf("%d requests were refused in a cut of 3 s", w.refused-refused)
+		}
+		if err := w.finish(); err != nil {
+			t.Error(err)
+		}
+		check(t, w)
+	})
+}
+
+// TestHomeComesAndGoes lets holders join, leave, freeze and lose messages at random.
+// Nothing is overspent, and planned stops leave nothing behind.
+func TestHomeComesAndGoes(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			w := largeWorld(seed)
+			w.topUp("t", 300_000)
+			var work sync.WaitGroup
+			work.Go(func() { send(w, 600) })
+			for range 12 {
+				i := int(w.between(0, 15))
+				switch w.between(0, 4) {
+				case 0:
+					w.wake(i)
+					w.crash(i)
+				case 1:
+					w.pause(i)
+				case 2:
+					w.wake(i)
+					w.boot(i)
+				case 3:
+					w.mu.Lock()
+					w.loss, w.twice, w.lose = 0.1, 0.1, 0.1
+					w.mu.Unlock()
+				case 4:
+					w.mu.Lock()
+					w.cut[[2]string{"zone-0", "zone-1"}] = !w.cut[[2]string{"zone-0", "zone-1"}]
+					w.mu.Unlock()
+				}
+				time.Sleep(400 * time.Millisecond)
+			}
+			work.Wait()
+			if err := w.finish(); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+			check(t, w)
+		})
+	}
+}
+
+// serve sends requests and waits until they have ended.
+func serve(w *world, requests int) {
+	send(w, requests)
+	w.open.Wait()
+}
+
+// send sends requests to all live instances in turn, one every 10 ms.
+func send(w *world, requests int) {
+	for n := range requests {
+		i := n % len(w.procs)
+		if w.isDead(w.procs[i]) {
+			i = (i + 1) % len(w.procs)
+		}
+		w.open.Go(func() { w.request(i, 900, 500, time.Second, 50*time.Millisecond) })
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// homeOf returns the instance that draws for a zone.
+func (w *world) homeOf(zone string) int {
+	for i, p := range w.procs {
+		if p.zone == zone && !w.isDead(p) && p.holder.Draws(testBudget) {
+			return i
+		}
+	}
+	return -1
+}
+
+// check reports what the world saw go wrong.
+func check(t *testing.T, w *world) {
+	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, err := range w.faults {
+		t.Error(err)
+	}
+}
--- a/coord/escrow/share.go
+++ b/coord/escrow/share.go
@@ -231,8 +231,9 @@
 // fastTime is the time constant of the fast average.
 const fastTime = 4 * time.Second
 
-// demand returns the use per second that a share should reckon with.
-func (m *meter) demand() float64 { return max(m.rate, m.fast) }
+// demand returns the use per second that a share should reckon with. A home that
+// has just got back what its mates did not need measures less than nothing.
+func (m *meter) demand() float64 { return max(m.rate, m.fast, 0) }
 
 func (m *meter) add(amount int64) { m.since += amount }
 
--- a/coord/escrow/world_test.go
+++ b/coord/escrow/world_test.go
@@ -34,6 +34,7 @@
 	loss    float64            // part of the messages between peers that are lost
 	twice   float64            // part of them that arrive twice
 	lies    float64            // part of the answers about silence that are wrong
+	homes   bool               // one holder in each zone draws
 	procs   []*proc            // the present process of each instance
 	all     map[string]*proc   // every process there ever was
 	policy  Policy
@@ -119,6 +120,9 @@
 	p := &proc{world: w, name: name, zone: w.zones[i], gate: make(chan struct{}), ended: make(chan struct{})}
 	close(p.gate)
 	p.holder = NewHolder(name, p.platform(), p.peers(), w.report)
+	if w.homes {
+		p.holder.Configure(map[string]Policy{testBudget: w.policy})
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	w.procs[i] = p
@@ -338,6 +342,7 @@
 	w := p.world
 	return Peers{
 		Near:   func() []string { return p.others(false) },
+		Mates:  p.mates,
 		Guards: func() []string { return p.others(true) },
 		Silent: func(process string) bool { return p.silent(process) != w.chance(w.lies) },
 		Ask: func(ctx context.Context, process string, plea Plea) (Reply, error) {
@@ -382,6 +387,28 @@
 	return names
 }
 
+// mates returns the live processes of the zone, this one with them, in a world where
+// one draws for all.
+func (p *proc) mates() []string {
+	w := p.world
+	w.mu.Lock()
+	homes := w.homes
+	w.mu.Unlock()
+	if !homes {
+		return nil
+	}
+	names := []string{p.name}
+	for _, name := range p.others(false) {
+		w.mu.Lock()
+		q := w.all[name]
+		w.mu.Unlock()
+		if q.zone == p.zone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (p *proc) silent(process string) bool {
 	w := p.world
 	w.mu.Lock()
