--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -26,6 +26,8 @@
 	lookAt    time.Time // when the book was last read to see others' wishes
 	restUntil time.Time // before which no refill ahead of need is worth a try
 
+	holders []string // processes of other open rows, the one with most left first
+
 	member bool      // its home draws for it
 	mates  int       // holders that this one draws for, 0 for itself only
 	tidyAt time.Time // when it last dealt with its home ahead of need
@@ -58,7 +60,7 @@
 // demand needs for the time to endure, and enough for a start.
 func (s *Share) target() int64 {
 	if s.sync.member {
-		return int64(min(s.flow.demand()*memberTime.Seconds(), MaxPaid))
+		return int64(min(max(s.flow.fast, 0)*memberTime.Seconds(), MaxPaid))
 	}
 	demand := s.flow.demand() * s.sync.policy.Endure.Seconds()
 	start := s.sync.policy.Start * int64(max(s.sync.mates, 1))
--- a/coord/escrow/home.go
+++ b/coord/escrow/home.go
@@ -28,8 +28,9 @@
 	// shunTime is how long a home that gave no answer is passed over.
 	shunTime = 2 * time.Second
 	// memberTime is how long what a holder asks its home for ahead of need should
-	// last. Its home is near, and what it holds is lost when it dies.
-	memberTime = 2 * time.Second
+	// last at the demand of late. Its home is near, and what lies with many holders
+	// pays for nothing.
+	memberTime = time.Second
 	// tidyTime is the least time between two gifts of what a holder does not need.
 	tidyTime = time.Second
 	// outliveTime is how long a share that was drawn here is kept after its last
@@ -169,18 +170,14 @@
 		return
 	}
 	var err error
-	switch {
-	case s.low():
+	if s.low() {
 		_, err = h.ask(ctx, s, process, Plea{Want: s.wanted()})
-	case s.unneeded(now) > 0:
-		err = h.giveTo(ctx, s, process, s.unneeded(now))
+	} else if amount := s.unneeded(now); amount > 0 {
+		err = h.giveTo(ctx, s, process, amount)
 	}
 	if err != nil {
 		h.shunned.add(process, now)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sync.tidyAt = now
 }
 
 // outlived reports whether the share was drawn here, and not of late.
@@ -218,14 +215,18 @@
 	return true
 }
 
-// unneeded returns what the share can give back to its home.
+// unneeded returns what the share is to give back to its home now.
 func (s *Share) unneeded(now time.Time) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing || len(s.waiters) > 0 || now.Sub(s.sync.tidyAt) < tidyTime {
 		return 0
 	}
-	return max(s.room()-s.target(), 0)
+	amount := max(s.room()-s.target(), 0)
+	if amount > 0 {
+		s.sync.tidyAt = now
+	}
+	return amount
 }
 
 // giveTo gives amount to a process's share of the same budget. An empty plea
--- a/coord/escrow/home_test.go
+++ b/coord/escrow/home_test.go
@@ -17,6 +17,11 @@
 	for i := range 16 {
 		zones = append(zones, fmt.Sprint("zone-", i%2))
 	}
+	return homeWorld(seed, zones)
+}
+
+// homeWorld is a fleet where one holder in each zone draws.
+func homeWorld(seed uint64, zones []string) *world {
 	w := newWorld(seed, zones, settled)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -58,6 +63,32 @@
 	})
 }
 
+// TestLeftoverOfOtherZonesIsFound spends a budget in one zone, after each home drew
+// its part. What the other zones' homes hold is spent as well.
+func TestLeftoverOfOtherZonesIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var zones []string
+		for i := range 40 {
+			zones = append(zones, fmt.Sprint("zone-", i%4))
+		}
+		w := homeWorld(4, zones)
+		w.topUp("t", 400_000)
+		serve(w, 200)
+		for range 800 {
+			w.open.Go(func() { w.request(4*int(w.between(0, 9)), 900, 500, time.Second, 50*time.Millisecond) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.open.Wait()
+		if spent := w.truth.used; spent < 97*w.naive.paid/100 {
+			t.Errorf("%d of %d could be spent; %d refused, %d falsely", spent, w.naive.paid, w.refused, w.falsely)
+		}
+		if err := w.finish(); err != nil {
+			t.Error(err)
+		}
+		check(t, w)
+	})
+}
+
 // TestHomeIsPassedOver kills a budget's homes one after another while their mates
 // serve. The next one draws, and nobody who asks then is refused.
 func TestHomeIsPassedOver(t *testing.T) {
--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -167,14 +167,15 @@
 }
 
 // plenty reports whether the platform had enough for amount when last asked, not
-// long ago. To a share that takes no more reservations it is of no use.
+// long ago. To a share that takes no more reservations it is of no use, and one
+// that its home draws for does not ask the platform.
 func (s *Share) plenty(amount int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing || s.broken != nil {
+	c := &s.sync
+	if s.closing || s.broken != nil || c.member {
 		return false
 	}
-	c := &s.sync
 	return c.free >= amount && !c.failAt.After(c.readAt) && time.Since(c.readAt) < dryTime && s.limit-s.outflow() >= amount
 }
 
@@ -199,6 +200,17 @@
 	return s.idle() >= amount && s.limit-s.outflow() < amount
 }
 
+// holdersOf returns the peers that may hold a part of a budget, the likeliest first:
+// the nearest, or in a large fleet those that the book showed to have most.
+func (h *Holder) holdersOf(s *Share) []string {
+	if h.mates() == nil {
+		return h.peers.Near()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sync.holders
+}
+
 // borrow asks peers in turn until the share has room for amount. It returns
 // what they have left that may yet come: room and open reservations.
 func (h *Holder) borrow(ctx context.Context, s *Share, amount int64) int64 {
@@ -206,7 +218,7 @@
 		return 0
 	}
 	var left int64
-	for i, p := range h.peers.Near() {
+	for i, p := range h.holdersOf(s) {
 		lack := s.lack(amount)
 		if lack == 0 || i == askLimit || ctx.Err() != nil {
 			break
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -178,6 +179,7 @@
 	} else if c.written {
 		c.sealed = true // ended by an operator, and folded away
 	}
+	c.holders = b.holders(s.id)
 	s.check()
 	s.wake()
 	s.mu.Unlock()
@@ -191,6 +193,24 @@
 	}
 }
 
+// holders returns the processes of the open rows but one, the one with most left
+// first.
+func (b *Book) holders(but string) []string {
+	var open []string
+	for id, r := range b.rows {
+		if id != but && r.raw.State == Open {
+			open = append(open, id)
+		}
+	}
+	slices.SortFunc(open, func(x, y string) int {
+		return cmp.Or(cmp.Compare(b.rows[y].Idle(), b.rows[x].Idle()), cmp.Compare(x, y))
+	})
+	for i, id := range open {
+		open[i] = ProcessOf(id)
+	}
+	return open
+}
+
 func (s *Share) isSealed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -45,9 +45,9 @@
 	// syncTime is how often budgets that could not be paid in are tried again, and
 	// those that this instance has become the home of are looked for.
 	syncTime = 700 * time.Millisecond
-	// meetBeats is how many heartbeats an instance that starts waits for its peers
-	// to make themselves known before it looks which budgets it is the home of.
-	meetBeats = 2
+	// meetTime is the most that an instance that starts waits for a peer to make
+	// itself known before it looks which budgets it is the home of.
+	meetTime = 300 * time.Millisecond
 )
 
 // Parts are what a Node is made of.
@@ -77,6 +77,7 @@
 	leaving   atomic.Bool
 	grace     atomic.Int64 // of a planned stop, in nanoseconds
 	broken    chan error
+	paid      chan struct{} // closed once budgets were paid in, or tried to be
 	serving   sync.WaitGroup
 	callers   drain.Conns
 	accepting net.Listener // of callers
@@ -84,7 +85,7 @@
 
 // New returns a node that does not serve yet.
 func New(p Parts) *Node {
-	n := &Node{Parts: p, broken: make(chan error, 4)}
+	n := &Node{Parts: p, broken: make(chan error, 4), paid: make(chan struct{})}
 	n.grace.Store(int64(p.Settings.Forward().Grace))
 	return n
 }
@@ -127,19 +128,13 @@
 	return errors.CombineErrors(failed, err)
 }
 
-// first waits for the first configuration.
+// first waits for the first configuration, and until its budgets are paid in.
 func (n *Node) first(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, firstTime)
 	defer cancel()
-	for n.Rules.Table() == nil && ctx.Err() == nil {
-		changed := n.Feeds.routes.Changed()
-		if n.Rules.Table() != nil {
-			return
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
+	select {
+	case <-n.paid:
+	case <-ctx.Done():
 	}
 }
 
@@ -196,16 +191,26 @@
 // page shows the metrics.
 func (n *Node) page(w http.ResponseWriter, _ *http.Request) { n.Metrics.WritePrometheus(w) }
 
+// meet waits for the first peer to be heard: through it come the others. An
+// instance that knows none is the home of all budgets.
+func (n *Node) meet(ctx context.Context) {
+	for began := time.Now(); ctx.Err() == nil && n.Peers.Alone() && time.Since(began) < meetTime; {
+		pause.For(ctx, meetTime/10)
+	}
+}
+
 // pay keeps what is paid into budgets in line with the configuration.
 func (n *Node) pay(ctx context.Context) {
 	paid := map[string]int64{}
-	pause.For(ctx, meetBeats*n.Settings.Beat())
+	first := sync.OnceFunc(func() { close(n.paid) })
+	n.meet(ctx)
 	for ctx.Err() == nil {
 		changed := n.Feeds.routes.Changed()
 		if t := n.Rules.Table(); t != nil {
 			if err := n.Purse.Sync(ctx, t, paid); err != nil && ctx.Err() == nil {
 				n.Logger.WithError(err).WithField("version", t.Version()).Warn("budget: can't be paid in yet")
 			}
+			first()
 		}
 		select {
 		case <-changed:
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -113,6 +113,9 @@
 	return names
 }
 
+// Alone reports whether no live peer is known.
+func (c *Client) Alone() bool { return len(c.table.Live(time.Now())) == 0 }
+
 // Drawers returns how many processes draw a budget on the platform: one in each
 // zone, or all where a zone has too few for that.
 func (c *Client) Drawers() int {
