--- a/coord/escrow/home.go
+++ b/coord/escrow/home.go
@@ -80,11 +80,11 @@
 }
 
 // home returns the process that draws a budget for these mates, this one if there
-// is no other.
-func (h *Holder) home(budget string, mates []string, now time.Time) string {
+// is no other but those not wanted.
+func (h *Holder) home(budget string, mates []string, now time.Time, not ...string) string {
 	best, top := h.process, uint64(0)
 	for _, p := range mates {
-		if p != h.process && h.shunned.has(p, now) {
+		if slices.Contains(not, p) || p != h.process && h.shunned.has(p, now) {
 			continue
 		}
 		if score := h.score(budget, p); score > top {
@@ -111,19 +111,46 @@
 // errOwn means that this holder draws for itself.
 var errOwn = errors.New("escrow: no home but this one")
 
-// fromHome gets what a reservation lacks from the home of its budget. It fails with
-// errOwn or errUnreached where this holder has to go its own ways, with ErrCutOff
-// if the home went its ways in vain.
+// fromHome gets what a reservation lacks from the home of its budget. Should that
+// be cut off from the platform, the next one may not be; more are not asked, since
+// an outage would have each holder try in vain, and all at once when it ends. It
+// fails with errOwn where this holder has to go its own ways.
 func (h *Holder) fromHome(ctx context.Context, s *Share, n Need, deadline time.Time) (hold Hold, open bool, err error) {
+	mates := h.mates()
 	now := time.Now()
-	process := h.home(s.budget, h.mates(), now)
+	process := h.home(s.budget, mates, now)
 	s.belong(process != h.process)
-	if process == h.process || n.gathered {
+	if n.gathered {
 		return Hold{}, false, errOwn
 	}
-	hold, open, err = h.delegate(ctx, s, process, n, deadline, homeTime)
-	if is(err, errUnreached, ErrCutOff) {
-		h.shunned.add(process, now)
+	for process != h.process {
+		hold, open, err = h.delegate(ctx, s, process, n, deadline, homeTime)
+		switch {
+		case is(err, errUnreached):
+			h.shunned.add(process, now)
+			process = h.home(s.budget, mates, now)
+		case is(err, ErrCutOff):
+			return h.fromNext(ctx, s, n, deadline, h.home(s.budget, mates, now, process))
+		default:
+			return hold, open, err
+		}
+		if ctx.Err() != nil {
+			return Hold{}, false, ErrCutOff
+		}
+	}
+	s.belong(false)
+	return Hold{}, false, errOwn
+}
+
+// fromNext asks the home after one that is cut off from the platform.
+func (h *Holder) fromNext(ctx context.Context, s *Share, n Need, deadline time.Time, process string) (Hold, bool, error) {
+	if process == h.process {
+		return Hold{}, false, errOwn
+	}
+	hold, open, err := h.delegate(ctx, s, process, n, deadline, homeTime)
+	if is(err, errUnreached) {
+		h.shunned.add(process, time.Now())
+		err = ErrCutOff
 	}
 	return hold, open, err
 }
--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -85,9 +85,9 @@
 	if s.exhausted(n.Amount, now) {
 		return Hold{}, false, ErrExhausted
 	}
-	hold, open, homeErr := h.fromHome(ctx, s, n, deadline)
-	if !is(homeErr, errOwn, errUnreached, ErrCutOff) {
-		return hold, open, homeErr
+	hold, open, err = h.fromHome(ctx, s, n, deadline)
+	if !is(err, errOwn) {
+		return hold, open, err
 	}
 	refused := h.draw(ctx, s, n.Amount, now, time.Until(deadline)/2)
 	if is(refused, ErrMissing, ErrSealed) {
@@ -102,9 +102,6 @@
 			return hold, false, nil
 		}
 	}
-	if is(homeErr, ErrCutOff) {
-		return Hold{}, false, refused // its home has asked the others
-	}
 	if p := h.gatherer(s.budget); h.mayDelegate(n, p) {
 		hold, open, err := h.delegate(ctx, s, p, n, deadline, turnTime)
 		if !is(err, errUnreached, ErrCutOff) {
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -184,7 +184,7 @@
 		set.GetOrCreateCounter("jacinthladder_broken_rules_total").Inc()
 		logger.WithError(err).Error("escrow: a rule would be broken, the share refuses from now on")
 	})
-	h.Pace = func() time.Duration { return pace(c.Drawers()) }
+	h.Pace = func() time.Duration { return pace(c.Drawers(), c.Homes()) }
 	return h
 }
 
@@ -201,10 +201,17 @@
 	paceMost = 4 * time.Second
 )
 
+// paceHome is the least time between two rounds where one instance draws for its
+// zone: what it draws in a call serves many, and few calls are more.
+const paceHome = 1600 * time.Millisecond
+
 // pace returns the least time between two rounds of refills where so many instances
-// draw.
-func pace(drawers int) time.Duration {
+// draw, for themselves or for their zones.
+func pace(drawers int, homes bool) time.Duration {
 	d := min(paceTime*time.Duration(max(drawers, paceFleet))/paceFleet, paceMost)
+	if homes {
+		d = max(d, paceHome)
+	}
 	return d - d/8 + rand.N(d/4) // instances that start together drift apart
 }
 
@@ -224,7 +231,7 @@
 // NewPurse returns what reserves tokens.
 func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups, c *peers.Client) *purse.Purse {
 	p := &purse.Purse{
-		Holder: h, Dry: func() time.Duration { return pace(c.Drawers()) },
+		Holder: h, Dry: func() time.Duration { return pace(c.Drawers(), c.Homes()) },
 		Pay: g.PayUp,
 	}
 	p.SetEndure(time.Duration(s.Forward().Endure))
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -116,11 +116,14 @@
 // Alone reports whether no live peer is known.
 func (c *Client) Alone() bool { return len(c.table.Live(time.Now())) == 0 }
 
+// Homes reports whether one process in this zone draws a budget for all.
+func (c *Client) Homes() bool { return len(c.mates()) >= escrow.LeastMates }
+
 // Drawers returns how many processes draw a budget on the platform: one in each
 // zone, or all where a zone has too few for that.
 func (c *Client) Drawers() int {
 	live := c.table.Live(time.Now())
-	if len(c.mates()) < escrow.LeastMates {
+	if !c.Homes() {
 		return len(live) + 1
 	}
 	zones := map[string]bool{c.table.Self().Zone: true}
