--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -23,9 +23,12 @@
 	probeTime = 500 * time.Millisecond
 	// answerTime bounds an answer of the platform beyond the wait.
 	answerTime = 900 * time.Millisecond
-	// gatherTime is the pause after each answer, so that changes which come close
-	// together take one call.
+	// gatherTime is the pause after an answer, so that changes which come close
+	// together take one call. It doubles up to gatherMost while each answer brings
+	// news: when a fleet starts or rolls, each instance would else call for each
+	// object that changes.
 	gatherTime = 120 * time.Millisecond
+	gatherMost = 800 * time.Millisecond
 	// firstPause and lastPause bound the pause between two tries.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
@@ -156,14 +159,18 @@
 func (f *Feed) Run(ctx context.Context) {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = firstPause, lastPause
-	wait := time.Duration(0)
+	wait, gather := time.Duration(0), gatherTime
 	for ctx.Err() == nil {
-		err := f.pull(ctx, wait)
+		fresh, err := f.pull(ctx, wait)
 		switch {
 		case err == nil:
 			b.Reset()
 			wait = f.wait()
-			pause.For(ctx, gatherTime)
+			pause.For(ctx, gather)
+			gather = min(2*gather, gatherMost)
+			if !fresh {
+				gather = gatherTime
+			}
 			continue
 		case errors.Is(err, object.ErrExpired):
 			f.relist()
@@ -192,8 +199,9 @@
 	f.seen = 0
 }
 
-// pull lists the kind if it is to be listed, and watches it otherwise.
-func (f *Feed) pull(ctx context.Context, wait time.Duration) error {
+// pull lists the kind if it is to be listed, and watches it otherwise. It reports
+// whether the platform had news since the last time.
+func (f *Feed) pull(ctx context.Context, wait time.Duration) (bool, error) {
 	f.mu.Lock()
 	after := f.seen
 	f.mu.Unlock()
@@ -205,7 +213,7 @@
 	page, err := f.store.Watch(call, f.kind, after, wait)
 	f.note(err, ctx.Err() != nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.offer("platform", page.Objects())
 	if after == 0 {
@@ -216,7 +224,7 @@
 	defer f.mu.Unlock()
 	f.seen = page.Version()
 	f.listed = true
-	return nil
+	return len(page.Objects()) > 0, nil
 }
 
 // note logs when the platform is lost and when it is back.
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -162,3 +163,31 @@
 		}
 	})
 }
+
+// A fleet that starts enters a hundred objects within ten seconds. Few calls bring
+// them all, the last within a second, and the next change after a quiet time comes
+// at once.
+func TestManyChangesTakeFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &platform{objects: map[string]object.Object{}, version: 1}
+		_, applied := follow(t, p, func(f *Feed) { f.Silent = 3 * time.Second })
+		for i := range int64(100) {
+			p.set(object.New("thing", fmt.Sprint("e-", i), 2+i, nil))
+			time.Sleep(100 * time.Millisecond)
+		}
+		const mostCalls = 20
+		if p.calls > mostCalls {
+			t.Errorf("%d calls for 100 changes in 10 s, want at most %d", p.calls, mostCalls)
+		}
+		time.Sleep(time.Second)
+		if _, ok := applied("e-99"); !ok {
+			t.Error("the last of them is not known after a second")
+		}
+		time.Sleep(5 * time.Second)
+		p.set(object.New("thing", "late", 200, nil))
+		time.Sleep(50 * time.Millisecond)
+		if _, ok := applied("late"); !ok {
+			t.Error("a change after a quiet time is not known at once")
+		}
+	})
+}
