--- a/coord/escrow/doc.go
+++ b/coord/escrow/doc.go
@@ -20,6 +20,9 @@
 // can't be reached, and waits for open reservations to settle before it
 // refuses. Peers and platform are sets of functions that the caller supplies.
 //
+// Where many holders stand in one zone, one of them is the home of a budget: it
+// draws for all, and the others ask it. See home.go.
+//
 // A share can be watched by witnesses. A holder then tells them ahead how far
 // its outflow may go, its mark. To win back what a silent holder left, a peer
 // seals a witness, which refuses that holder's marks from then on, and takes
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -310,11 +310,13 @@
 	h.mu.RLock()
 	old := slices.Clone(h.old)
 	h.mu.RUnlock()
+	var work sync.WaitGroup
 	for _, s := range old {
 		if s.Figures().reserved == 0 {
-			h.closeShare(ctx, s)
+			work.Go(func() { h.closeShare(ctx, s) })
 		}
 	}
+	work.Wait()
 }
 
 // Close returns what is left of every share, tries again until ctx ends, and
@@ -325,29 +327,44 @@
 	h.mu.Lock()
 	h.closed = true
 	h.mu.Unlock()
+	var mu sync.Mutex
 	var left []string
+	var work sync.WaitGroup
 	for _, s := range h.Shares() {
-		if s.Figures().reserved > 0 {
-			h.leaveShare(ctx, s)
-			left = append(left, s.budget)
-			continue
-		}
-		for !h.closeShare(ctx, s) {
-			select {
-			case <-ctx.Done():
-			case <-time.After(tickTime):
-				continue
+		work.Go(func() {
+			if h.endShare(ctx, s) {
+				return
 			}
+			mu.Lock()
+			defer mu.Unlock()
 			left = append(left, s.budget)
-			break
-		}
+		})
 	}
+	work.Wait()
+	slices.Sort(left)
 	if len(left) > 0 {
 		return errors.Newf("escrow: shares left behind: %s", strings.Join(left, ", "))
 	}
 	return nil
 }
 
+// endShare returns a share, again until ctx ends, and reports whether it is returned
+// whole.
+func (h *Holder) endShare(ctx context.Context, s *Share) bool {
+	if s.Figures().reserved > 0 {
+		h.leaveShare(ctx, s)
+		return false
+	}
+	for !h.closeShare(ctx, s) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(tickTime):
+		}
+	}
+	return true
+}
+
 // closeShare ends a share and reports whether its row is closed.
 func (h *Holder) closeShare(ctx context.Context, s *Share) bool {
 	h.collect(ctx, s)
--- a/internal/fleet/books/group.go
+++ b/internal/fleet/books/group.go
@@ -25,6 +25,9 @@
 	gatherTime = 8 * time.Millisecond
 	// recentTime is how old a reading may be that a write builds on.
 	recentTime = 100 * time.Millisecond
+	// glanceTime is how old a reading may be that shows that nothing is to be written:
+	// the many budgets that have run dry are looked at together.
+	glanceTime = 500 * time.Millisecond
 	// callTime bounds the calls of one batch.
 	callTime = 1500 * time.Millisecond
 	// conflictTime is the most that the first conflict delays a batch; it doubles
@@ -267,17 +270,16 @@
 func (g *group) commit(ctx context.Context, changes []*change) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
 	defer cancel()
+	if text, _, ok := g.recent(glanceTime); ok && !applyAll(changes, text) {
+		return
+	}
 	for try := range groupTries {
 		text, version, err := g.latest(ctx, try == 0)
 		if err != nil {
 			fail(changes, err)
 			return
 		}
-		changed := false
-		for _, c := range changes {
-			changed = c.apply(text) || changed
-		}
-		if !changed {
+		if !applyAll(changes, text) {
 			return
 		}
 		data, err := json.Marshal(text)
@@ -299,6 +301,15 @@
 	fail(changes, escrow.ErrConflict)
 }
 
+// applyAll runs the edits on a group and reports whether it has changed.
+func applyAll(changes []*change, text groupText) bool {
+	changed := false
+	for _, c := range changes {
+		changed = c.apply(text) || changed
+	}
+	return changed
+}
+
 // keep remembers the group as it is now.
 func (g *group) keep(text groupText, version int64) {
 	g.mu.Lock()
@@ -318,13 +329,25 @@
 // latest returns the group for a change: as it was read a moment ago, if it was and
 // that will do, since a conflict shows that it was not recent enough.
 func (g *group) latest(ctx context.Context, recent bool) (groupText, int64, error) {
+	if text, version, ok := g.recent(recentTime); ok && recent {
+		return text, version, nil
+	}
+	text, version, err := g.fetch(ctx)
+	if err == nil && version > 0 {
+		g.keep(groupText{Books: maps.Clone(text.Books)}, version)
+	}
+	return text, version, err
+}
+
+// recent returns a copy of the group as it was read or written, if that is not
+// longer ago than age.
+func (g *group) recent(age time.Duration) (groupText, int64, bool) {
 	g.mu.Lock()
-	text, version, age := g.text, g.version, time.Since(g.readAt)
-	g.mu.Unlock()
-	if recent && version > 0 && age < recentTime {
-		return groupText{Books: maps.Clone(text.Books)}, version, nil
+	defer g.mu.Unlock()
+	if g.version == 0 || time.Since(g.readAt) >= age {
+		return groupText{}, 0, false
 	}
-	return g.fetch(ctx)
+	return groupText{Books: maps.Clone(g.text.Books)}, g.version, true
 }
 
 func (g *group) fetch(ctx context.Context) (groupText, int64, error) {
--- a/internal/fleet/books/group_test.go
+++ b/internal/fleet/books/group_test.go
@@ -176,3 +176,29 @@
 	}
 	return text.Books[budget].Book
 }
+
+// Budgets that have run dry are looked at often, by holders that then write nothing.
+// Looks that come close together take one call.
+func TestLooksAtDryBudgetsShareCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &shelf{}
+		g := NewGroups(s.store(), 1)
+		const budgets = 24
+		for i := range budgets {
+			if err := g.PayUp(t.Context(), fmt.Sprint("b", i), 100); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		s.calls = 0
+		for i := range budgets {
+			if err := g.Update(t.Context(), fmt.Sprint("b", i), func(*escrow.Book) (bool, error) { return false, nil }); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(12 * time.Millisecond) // with the 8 ms of each call: half a second in all
+		}
+		if s.calls > 2 {
+			t.Errorf("%d calls for looks at %d budgets", s.calls, budgets)
+		}
+	})
+}
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -191,12 +191,16 @@
 // page shows the metrics.
 func (n *Node) page(w http.ResponseWriter, _ *http.Request) { n.Metrics.WritePrometheus(w) }
 
-// meet waits for the first peer to be heard: through it come the others. An
+// meet waits for the first peer to be heard, and then for those that it knows. An
 // instance that knows none is the home of all budgets.
 func (n *Node) meet(ctx context.Context) {
-	for began := time.Now(); ctx.Err() == nil && n.Peers.Alone() && time.Since(began) < meetTime; {
+	for began := time.Now(); ctx.Err() == nil && n.Peers.Alone(); {
+		if time.Since(began) > meetTime {
+			return
+		}
 		pause.For(ctx, meetTime/10)
 	}
+	pause.For(ctx, meetTime)
 }
 
 // pay keeps what is paid into budgets in line with the configuration.
--- a/internal/fleet/peers/beat.go
+++ b/internal/fleet/peers/beat.go
@@ -17,6 +17,10 @@
 const (
 	// fanOut is the number of peers that one round of heartbeats goes to.
 	fanOut = 3
+	// earlyRounds is how many rounds go out fast after the start, every earlyPart of
+	// an interval: what a fleet does depends on who is there.
+	earlyRounds = 6
+	earlyPart   = 5
 	// listTime is how often the instance list is read.
 	listTime = 5 * time.Second
 	// strangers is the most unknown addresses of the list tried in one round.
@@ -58,12 +62,19 @@
 func (b *Beater) Run(ctx context.Context) {
 	t := time.NewTicker(b.Interval)
 	defer t.Stop()
-	for {
+	early := time.NewTicker(b.Interval / earlyPart)
+	defer early.Stop()
+	for round := 0; ; round++ {
+		tick := early.C
+		if round >= earlyRounds {
+			tick = t.C
+			early.Stop()
+		}
 		changed := b.Server.Config.Changed()
 		b.Server.Table.Beat()
 		b.list(ctx)
 		b.Round(ctx)
-		if !b.pause(ctx, t.C, changed) {
+		if !b.pause(ctx, tick, changed) {
 			return
 		}
 	}
