--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -47,7 +47,7 @@
 	syncTime = 700 * time.Millisecond
 	// meetTime is the most that an instance that starts waits for a peer to make
 	// itself known before it looks which budgets it is the home of.
-	meetTime = 300 * time.Millisecond
+	meetTime = 200 * time.Millisecond
 )
 
 // Parts are what a Node is made of.
@@ -75,6 +75,7 @@
 type Node struct {
 	Parts
 	leaving   atomic.Bool
+	taking    atomic.Bool // requests
 	grace     atomic.Int64 // of a planned stop, in nanoseconds
 	broken    chan error
 	paid      chan struct{} // closed once budgets were paid in, or tried to be
@@ -105,6 +106,7 @@
 	own := n.listen(n.Listeners.peers, &http.Server{Handler: n.Server.Handler(), ReadHeaderTimeout: headTime})
 	admin := n.listen(n.Listeners.admin, &http.Server{Handler: http.HandlerFunc(n.page), ReadHeaderTimeout: headTime})
 	n.first(ctx)
+	n.taking.Store(true)
 	n.accepting = n.callers.Listener(n.Listeners.callers)
 	n.listen(n.accepting, n.surface())
 	n.Logger.WithFields(log.Fields{
@@ -183,6 +185,8 @@
 		return "no configuration yet"
 	case n.Board.Size() == 0:
 		return "no endpoints known yet"
+	case !n.taking.Load():
+		return "budgets are not paid in yet"
 	default:
 		return ""
 	}
