--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -29,7 +29,7 @@
 	holders []string // processes of other open rows, the one with most left first
 
 	member bool      // its home draws for it
-	mates  int       // holders that this one draws for, 0 for itself only
+	mates  int       // holders among which the budget has a home, 0 if each draws
 	tidyAt time.Time // when it last dealt with its home ahead of need
 
 	deniedAt time.Time // when a gatherer last failed
@@ -63,7 +63,7 @@
 		return int64(min(max(s.flow.fast, 0)*memberTime.Seconds(), MaxPaid))
 	}
 	demand := s.flow.demand() * s.sync.policy.Endure.Seconds()
-	start := s.sync.policy.Start * int64(max(s.sync.mates, 1))
+	start := s.sync.policy.Start
 	if start == 0 {
 		start = startCount * min(s.largest, MaxPaid/startCount)
 	}
