--- a/coord/escrow/gather.go
+++ b/coord/escrow/gather.go
@@ -68,6 +68,9 @@
 			if !is(err, ErrExhausted) || s.readAge() > wordTime {
 				err = ErrCutOff
 			}
+			if h.Denied != nil {
+				h.Denied(p, err, s.Figures())
+			}
 			return Reply{Why: err, Waits: s.waits(p.Need)}
 		}
 	}
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -30,6 +30,11 @@
 	shunned shunned
 	kicks   chan *Share
 
+	// PassedOver is told of a home that gave no answer, and Denied of a plea that this
+	// process, a home, could not serve. Nil tells nobody. Set them before Run.
+	PassedOver func(process string)
+	Denied     func(p Plea, why error, f Figures)
+
 	// Pace returns the least time between two rounds of refills ahead of need, all
 	// shares at once, for a platform that writes them in one call. Nil refills
 	// each share as soon as it is low. Set it before Run.
--- a/coord/escrow/home.go
+++ b/coord/escrow/home.go
@@ -46,7 +46,8 @@
 	until map[string]time.Time
 }
 
-func (n *shunned) add(process string, now time.Time) {
+// add reports whether the process was not among them.
+func (n *shunned) add(process string, now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.until == nil {
@@ -57,7 +58,9 @@
 			delete(n.until, p)
 		}
 	}
+	_, known := n.until[process]
 	n.until[process] = now.Add(shunTime)
+	return !known
 }
 
 func (n *shunned) has(process string, now time.Time) bool {
@@ -94,9 +97,18 @@
 	return best
 }
 
+// Home returns the process that draws a budget for this one, this one itself if it
+// draws.
+func (h *Holder) Home(budget string) string { return h.home(budget, h.mates(), time.Now()) }
+
 // Draws reports whether this process draws a budget on the platform.
-func (h *Holder) Draws(budget string) bool {
-	return h.home(budget, h.mates(), time.Now()) == h.process
+func (h *Holder) Draws(budget string) bool { return h.Home(budget) == h.process }
+
+// passOver leaves a process that gave no answer alone for a while.
+func (h *Holder) passOver(process string, now time.Time) {
+	if h.shunned.add(process, now) && h.PassedOver != nil {
+		h.PassedOver(process)
+	}
 }
 
 // score ranks a process for a budget, the same for all budgets that are drawn
@@ -127,7 +139,7 @@
 		hold, open, err = h.delegate(ctx, s, process, n, deadline, homeTime)
 		switch {
 		case is(err, errUnreached):
-			h.shunned.add(process, now)
+			h.passOver(process, now)
 			process = h.home(s.budget, mates, now)
 		case is(err, ErrCutOff):
 			return h.fromNext(ctx, s, n, deadline, h.home(s.budget, mates, now, process))
@@ -149,7 +161,7 @@
 	}
 	hold, open, err := h.delegate(ctx, s, process, n, deadline, homeTime)
 	if is(err, errUnreached) {
-		h.shunned.add(process, time.Now())
+		h.passOver(process, time.Now())
 		err = ErrCutOff
 	}
 	return hold, open, err
@@ -203,7 +215,7 @@
 		err = h.giveTo(ctx, s, process, amount)
 	}
 	if err != nil {
-		h.shunned.add(process, now)
+		h.passOver(process, now)
 	}
 }
 
@@ -222,7 +234,7 @@
 		return
 	}
 	if err := h.giveTo(ctx, s, process, amount); err != nil {
-		h.shunned.add(process, time.Now())
+		h.passOver(process, time.Now())
 	}
 }
 
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -75,7 +75,7 @@
 type Node struct {
 	Parts
 	leaving   atomic.Bool
-	taking    atomic.Bool // requests
+	taking    atomic.Bool  // requests
 	grace     atomic.Int64 // of a planned stop, in nanoseconds
 	broken    chan error
 	paid      chan struct{} // closed once budgets were paid in, or tried to be
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -180,10 +180,21 @@
 func NewHolder(p node.Process, g *books.Groups, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
 	reach := c.Escrow()
 	reach.Kin = g.Group
+	reach.Ask = timed(reach.Ask, set)
 	h := escrow.NewHolder(string(p), g.Platform(), reach, func(err error) {
 		set.GetOrCreateCounter("jacinthladder_broken_rules_total").Inc()
 		logger.WithError(err).Error("escrow: a rule would be broken, the share refuses from now on")
 	})
+	h.PassedOver = func(process string) {
+		logger.WithField("home", process).Warn("budget: a home gave no answer, the next one is asked")
+	}
+	h.Denied = func(p escrow.Plea, why error, f escrow.Figures) {
+		free, age := f.Free()
+		logger.WithFields(log.Fields{
+			"account": p.Budget, "from": escrow.ProcessOf(p.From), "need": p.Need, "reason": why.Error(),
+			"idle": f.Idle(), "reserved": f.Reserved(), "free": free, "age": age.Milliseconds(),
+		}).Info("budget: denied a peer")
+	}
 	h.Pace = func() time.Duration { return pace(c.Drawers(), c.Homes()) }
 	return h
 }
@@ -201,6 +212,21 @@
 	paceMost = 4 * time.Second
 )
 
+// timed measures pleas to peers.
+func timed(ask func(context.Context, string, escrow.Plea) (escrow.Reply, error), set *metrics.Set) func(context.Context, string, escrow.Plea) (escrow.Reply, error) {
+	took := set.GetOrCreateHistogram("jacinthladder_budget_ask_seconds")
+	failed := set.GetOrCreateCounter("jacinthladder_budget_asks_failed_total")
+	return func(ctx context.Context, process string, p escrow.Plea) (escrow.Reply, error) {
+		began := time.Now()
+		r, err := ask(ctx, process, p)
+		took.UpdateDuration(began)
+		if err != nil {
+			failed.Inc()
+		}
+		return r, err
+	}
+}
+
 // paceHome is the least time between two rounds where one instance draws for its
 // zone: what it draws in a call serves many, and few calls are more.
 const paceHome = 1600 * time.Millisecond
--- a/internal/forward/purse/purse.go
+++ b/internal/forward/purse/purse.go
@@ -79,6 +79,9 @@
 	return p.Holder.Share(a.Name, p.Policy(a)).Figures()
 }
 
+// Home returns the process that draws an account's budget for this instance.
+func (p *Purse) Home(a *route.Account) string { return p.Holder.Home(a.Name) }
+
 // Sync pays in what a configuration says is prepaid, and draws the shares of
 // accounts that this instance has not served yet. Paid holds what is known to be
 // paid in; the caller keeps it from one call to the next.
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -218,7 +218,7 @@
 	x.Logger.WithFields(log.Fields{
 		"request": x.request.ID, "account": x.account.Name, "bound": bound, "version": x.table.Version(), "reason": err.Error(),
 		"idle": f.Idle(), "reserved": f.Reserved(), "used": f.Used(), "rate": int64(f.Rate()), "free": free, "age": age.Milliseconds(),
-		"prepaid": x.account.Prepaid,
+		"prepaid": x.account.Prepaid, "home": x.Purse.Home(x.account),
 	}).Info("budget: refused")
 	switch {
 	case errors.Is(err, escrow.ErrExhausted):
