--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -62,7 +62,7 @@
 		return Hold{}, true, err
 	case is(err, ErrMissing), ctx.Err() != nil:
 		return Hold{}, false, err
-	case s.plenty(n.Amount):
+	case s.plenty(n.Amount) && !s.exhausted(n.Amount, time.Now()):
 		// Others here were faster, and the platform has more.
 		return Hold{}, true, err
 	}
