--- a/coord/escrow/home_test.go
+++ b/coord/escrow/home_test.go
@@ -230,3 +230,20 @@
 		t.Error(err)
 	}
 }
+
+// TestDenialIsNotAskedAgainAtOnce reserves while a home's denial holds, though the
+// home had said a moment before that there was much.
+func TestDenialIsNotAskedAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHolder("entry-0/1", Platform{}, Peers{}, nil)
+		s := h.Share(testBudget, settled)
+		now := time.Now()
+		s.deny(900, now)
+		s.mu.Lock()
+		s.sync.free, s.sync.readAt = 100_000, now
+		s.mu.Unlock()
+		if _, again, err := h.turn(t.Context(), s, Need{Amount: 900}, now.Add(time.Second)); again && time.Since(now) == 0 {
+			t.Errorf("asked again without a pause after %v", err)
+		}
+	})
+}
