--- a/internal/tools/slopes/target.go
+++ b/internal/tools/slopes/target.go
@@ -60,7 +60,7 @@
 	perNode := requests / nodes
 	perRequest := tokens / requests
 	open := perNode * perRequest * gapSeconds
-	shares := budgets // a node behind the balancer sees them all in an hour
+	shares := budgets                // a node behind the balancer sees them all in an hour
 	homes := zones * budgets / nodes // budgets that a node draws for its zone
 	refill := homes / (endure / 2)
 	return []row{
