--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -176,8 +176,11 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		const mostCalls = 20
-		if p.calls > mostCalls {
-			t.Errorf("%d calls for 100 changes in 10 s, want at most %d", p.calls, mostCalls)
+		p.mu.Lock()
+		calls := p.calls
+		p.mu.Unlock()
+		if calls > mostCalls {
+			t.Errorf("%d calls for 100 changes in 10 s, want at most %d", calls, mostCalls)
 		}
 		time.Sleep(time.Second)
 		if _, ok := applied("e-99"); !ok {
