--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -147,15 +147,14 @@
 const excessCount = 2
 
 // giveBack returns what the share holds far beyond its target, if its policy
-// bounds what it holds. It returns the amount, with the lock held.
-func (s *Share) giveBack() int64 {
+// bounds what it holds, with the lock held.
+func (s *Share) giveBack() {
 	excess := s.room() - s.target()
 	if s.sync.policy.Part == 0 || s.closing || excess < (excessCount-1)*s.target() || excess <= 0 {
-		return 0
+		return
 	}
 	s.returned += excess
 	s.check()
-	return excess
 }
 
 // scarce reports whether the platform had nothing free when last asked, not
--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -125,6 +125,60 @@
 	}
 }
 
+// An excess whose write is tried again, after a conflict or a look at an older reading,
+// is still to be written: the share has let go of it.
+func TestExcessIsReturnedWhenTriedAgain(t *testing.T) {
+	s := NewShare("b", "p/1/1", func(err error) { t.Error(err) })
+	s.sync.policy = Policy{Start: 100, Part: 0.5}
+	fresh := func() *Book {
+		b := NewBook("account")
+		if _, err := b.PayUp(10_000); err != nil {
+			t.Fatal(err)
+		}
+		s.granted = b.draw(s.id, 1000, 0, fairness{})
+		return b
+	}
+	all := func(string) bool { return true }
+	if !s.edit(fresh(), 0, refillRow, all) {
+		t.Fatal("nothing to write")
+	}
+	again := fresh()
+	if !s.edit(again, 0, refillRow, all) || again.Row(s.id).Returned() != 900 {
+		t.Errorf("returned %d of 900 when tried again", again.Row(s.id).Returned())
+	}
+}
+
+// A share that finds nothing free has no row, and is not taken for one that an
+// operator has ended.
+func TestShareWithoutRowIsNotEnded(t *testing.T) {
+	book := NewBook("account")
+	if _, err := book.PayUp(1000); err != nil {
+		t.Fatal(err)
+	}
+	book.draw("a/1/1", 1000, 0, fairness{})
+	h := NewHolder("b/1", Platform{Update: func(_ context.Context, _ string, edit func(*Book) (bool, error)) error {
+		data, err := book.MarshalJSON()
+		if err != nil {
+			return err
+		}
+		b := &Book{}
+		if err := b.UnmarshalJSON(data); err != nil {
+			return err
+		}
+		changed, err := edit(b)
+		if changed && err == nil {
+			book = b
+		}
+		return err
+	}}, Peers{}, func(err error) { t.Error(err) })
+	s := h.Share("budget", Policy{Start: 100, Part: 0.5})
+	for i := range 3 {
+		if err := h.refill(t.Context(), s, 10, time.Now()); err != nil {
+			t.Errorf("look %d at a book that has nothing free: %v", i, err)
+		}
+	}
+}
+
 // What a process held when it died counts as spent, and its row no longer counts
 // among those that share what is left.
 func TestNextProcessEndsRows(t *testing.T) {
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -125,9 +125,9 @@
 
 // merge brings the share's row in line by an edit of the book as it stands.
 func (h *Holder) merge(ctx context.Context, s *Share, need int64, m mode, began time.Time) error {
-	var after *Book
+	var written *Book
 	err := h.platform.Update(ctx, s.budget, func(b *Book) (bool, error) {
-		after = b
+		written = nil
 		s.absorb(b, began)
 		if s.isEnded(b) {
 			return false, nil
@@ -148,10 +148,11 @@
 			h.report(err)
 			return false, err
 		}
+		written = b
 		return true, nil
 	})
-	if err == nil && after != nil {
-		s.absorb(after, began)
+	if err == nil && written != nil {
+		s.absorb(written, began)
 	}
 	return err
 }
@@ -233,12 +234,12 @@
 	defer s.mu.Unlock()
 	c := &s.sync
 	r := b.open(s.id)
+	told := r.raw.Returned // as the platform knows it
 	var grant int64
-	var excess int64
 	switch m {
 	case refillRow:
 		s.report(r)
-		excess = s.giveBack()
+		s.giveBack()
 		want := s.target() - s.idle()
 		grant = b.draw(s.id, need, max(want, 0), fairness{part: c.policy.Part, counts: alive})
 	case closeRow:
@@ -256,12 +257,11 @@
 		}
 	}
 	same := len(c.proposed) == 0 || slices.Equal(r.raw.Guards, c.proposed)
-	var spared int64
 	if m == refillRow && grant == 0 {
-		spared = s.spare(b.wishes(s.id))
+		s.spare(b.wishes(s.id))
 	}
 	wished := r.raw.Wish == c.wish || r.raw.Wish > 0 && c.wish > 0
-	if m == refillRow && grant == 0 && spared == 0 && excess == 0 && wished && same && !b.changed {
+	if m == refillRow && grant == 0 && s.returned <= told && wished && same && !b.changed {
 		return false
 	}
 	r.raw.Wish = c.wish
--- a/coord/escrow/wish.go
+++ b/coord/escrow/wish.go
@@ -42,15 +42,14 @@
 }
 
 // spare gives back what others wish for, up to half of what is left, as long as
-// that is well above the floor. It returns the amount, with the lock held.
-func (s *Share) spare(wished int64) int64 {
+// that is well above the floor, with the lock held.
+func (s *Share) spare(wished int64) {
 	amount := min(wished, s.room()/2)
 	if s.closing || amount <= 0 || s.room()-amount < s.floor() {
-		return 0
+		return
 	}
 	s.returned += amount
 	s.check()
-	return amount
 }
 
 // due reports whether it is time to look for wishes, and notes that it is done.
