--- a/internal/fleet/books/group.go
+++ b/internal/fleet/books/group.go
@@ -270,7 +270,7 @@
 func (g *group) commit(ctx context.Context, changes []*change) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
 	defer cancel()
-	if text, _, ok := g.recent(glanceTime); ok && !applyAll(changes, text) {
+	if text, _, ok := g.recent(glanceTime); ok && !applyAll(changes, text) && !anyFailed(changes) {
 		return
 	}
 	for try := range groupTries {
@@ -310,6 +310,12 @@
 	return changed
 }
 
+// anyFailed reports whether an edit was refused, which may be for the age of what it
+// saw.
+func anyFailed(changes []*change) bool {
+	return slices.ContainsFunc(changes, func(c *change) bool { return c.err != nil })
+}
+
 // keep remembers the group as it is now.
 func (g *group) keep(text groupText, version int64) {
 	g.mu.Lock()
--- a/internal/fleet/books/group_test.go
+++ b/internal/fleet/books/group_test.go
@@ -202,3 +202,22 @@
 		}
 	})
 }
+
+// A budget that another instance has just made is there, though this one looked at its
+// group a moment before.
+func TestNewBudgetIsSeenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &shelf{}
+		here, there := NewGroups(s.store(), 1), NewGroups(s.store(), 1)
+		if err := here.PayUp(t.Context(), "x", 100); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(recentTime)
+		if err := there.PayUp(t.Context(), "y", 100); err != nil {
+			t.Fatal(err)
+		}
+		if err := here.Update(t.Context(), "y", func(*escrow.Book) (bool, error) { return false, nil }); err != nil {
+			t.Error(err)
+		}
+	})
+}
