--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -47,7 +47,7 @@
 	self  Member
 	known map[string]*record
 	next  int // where the next sample begins
-	live  atomic.Int64
+	count atomic.Pointer[Census]
 }
 
 // NewTable returns a table that knows only its own process, which counts a
@@ -58,16 +58,49 @@
 
 // Beat counts a heartbeat and returns the own entry.
 func (t *Table) Beat() Member {
-	t.live.Store(int64(len(t.Live(time.Now()))))
+	live := t.Live(time.Now())
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.count.Store(countOf(t.self, live))
 	t.self.Count++
 	return t.self
 }
 
+// Census counts the members that were live at the last heartbeat.
+type Census struct {
+	// Others are all but this one.
+	Others int
+	// Near are those of the own zone that are not leaving, this one with them.
+	Near int
+	// Zones are those with a member, the own zone with them.
+	Zones int
+}
+
+func countOf(self Member, live []Member) *Census {
+	c := &Census{Others: len(live)}
+	zones := map[string]bool{self.Zone: true}
+	for _, m := range append(live, self) {
+		zones[m.Zone] = true
+		if m.Zone == self.Zone && !m.Leaving {
+			c.Near++
+		}
+	}
+	c.Zones = len(zones)
+	return c
+}
+
+// Census returns the count of the last heartbeat. It is cheap enough for each
+// request.
+func (t *Table) Census() Census {
+	if c := t.count.Load(); c != nil {
+		return *c
+	}
+	return Census{}
+}
+
 // Others returns the number of other members that were live at the last
 // heartbeat.
-func (t *Table) Others() int { return int(t.live.Load()) }
+func (t *Table) Others() int { return t.Census().Others }
 
 // Self returns the own entry.
 func (t *Table) Self() Member {
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -173,3 +173,21 @@
 	fmt.Println(t.Silent("entry-2/cd", now), t.Silent("entry-2/cd", now.Add(time.Minute)))
 	// Output: false true
 }
+
+// A census counts zones with a member, and near ones that stay.
+func TestCensus(t *testing.T) {
+	table := NewTable(Member{Process: "a/1", Zone: "ikeja"}, time.Second)
+	if got := table.Census(); got != (Census{}) {
+		t.Errorf("%+v before the first heartbeat", got)
+	}
+	table.Merge(time.Now(),
+		Member{Process: "b/1", Zone: "ikeja", Count: 1},
+		Member{Process: "c/1", Zone: "ikeja", Count: 1, Leaving: true},
+		Member{Process: "d/1", Zone: "yaba", Count: 1},
+		Member{Process: "e/1", Zone: "yaba", Count: 1},
+	)
+	table.Beat()
+	if got, want := table.Census(), (Census{Others: 4, Near: 2, Zones: 2}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
--- a/internal/fleet/front/parts.go
+++ b/internal/fleet/front/parts.go
@@ -177,7 +177,7 @@
 }
 
 // NewHolder returns an escrow holder without shares.
-func NewHolder(p node.Process, g *books.Groups, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
+func NewHolder(p node.Process, g *books.Groups, t *member.Table, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
 	reach := c.Escrow()
 	reach.Kin = g.Group
 	reach.Ask = timed(reach.Ask, set)
@@ -195,7 +195,7 @@
 			"idle": f.Idle(), "reserved": f.Reserved(), "free": free, "age": age.Milliseconds(),
 		}).Info("budget: denied a peer")
 	}
-	h.Pace = func() time.Duration { return pace(c.Drawers(), c.Homes()) }
+	h.Pace = func() time.Duration { return pace(t.Census()) }
 	return h
 }
 
@@ -231,9 +231,14 @@
 // zone: what it draws in a call serves many, and few calls are more.
 const paceHome = 1600 * time.Millisecond
 
-// pace returns the least time between two rounds of refills where so many instances
-// draw, for themselves or for their zones.
-func pace(drawers int, homes bool) time.Duration {
+// pace returns the least time between two rounds of refills in a fleet where each
+// instance draws for itself, or in large zones one for all.
+func pace(c member.Census) time.Duration {
+	drawers := c.Others + 1
+	homes := c.Near >= escrow.LeastMates
+	if homes {
+		drawers = c.Zones
+	}
 	d := min(paceTime*time.Duration(max(drawers, paceFleet))/paceFleet, paceMost)
 	if homes {
 		d = max(d, paceHome)
@@ -255,9 +260,9 @@
 }
 
 // NewPurse returns what reserves tokens.
-func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups, c *peers.Client) *purse.Purse {
+func NewPurse(s *setup.Settings, h *escrow.Holder, g *books.Groups, t *member.Table) *purse.Purse {
 	p := &purse.Purse{
-		Holder: h, Dry: func() time.Duration { return pace(c.Drawers(), c.Homes()) },
+		Holder: h, Dry: func() time.Duration { return pace(t.Census()) },
 		Pay: g.PayUp,
 	}
 	p.SetEndure(time.Duration(s.Forward().Endure))
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -116,23 +116,6 @@
 // Alone reports whether no live peer is known.
 func (c *Client) Alone() bool { return len(c.table.Live(time.Now())) == 0 }
 
-// Homes reports whether one process in this zone draws a budget for all.
-func (c *Client) Homes() bool { return len(c.mates()) >= escrow.LeastMates }
-
-// Drawers returns how many processes draw a budget on the platform: one in each
-// zone, or all where a zone has too few for that.
-func (c *Client) Drawers() int {
-	live := c.table.Live(time.Now())
-	if !c.Homes() {
-		return len(live) + 1
-	}
-	zones := map[string]bool{c.table.Self().Zone: true}
-	for _, m := range live {
-		zones[m.Zone] = true
-	}
-	return len(zones)
-}
-
 // guards picks witnesses: the live members outside the own zone that rank
 // first for this process, then any others.
 func (c *Client) guards() []string {
