--- a/coord/escrow/book.go
+++ b/coord/escrow/book.go
@@ -279,10 +279,11 @@
 		left += max(r.Idle(), 0)
 		rates += float64(r.raw.Rate)
 	}
-	if r := b.rows[id]; r != nil {
+	r := b.rows[id]
+	if r != nil {
 		rate = float64(r.raw.Rate)
 	}
-	if r := b.rows[id]; r == nil || r.raw.Granted == 0 {
+	if r == nil || r.raw.Granted == 0 {
 		open++
 	}
 	if f.part == 0 || rates == 0 {
--- a/coord/escrow/gather.go
+++ b/coord/escrow/gather.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -23,13 +24,7 @@
 	if h.peers.Near == nil || h.peers.Ask == nil {
 		return h.process
 	}
-	best, top := h.process, h.score(budget, h.process)
-	for _, p := range h.peers.Near() {
-		if score := h.score(budget, p); score > top {
-			best, top = p, score
-		}
-	}
-	return best
+	return h.best(budget, append(h.peers.Near(), h.process))
 }
 
 // delegate asks another process, which may take up to patience, for what the share
@@ -129,11 +124,15 @@
 func (s *Share) dealtWith(process string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, ids := range []map[string]int64{s.sentTo, s.gotFrom} {
-		for id := range ids {
-			if ProcessOf(id) == process {
-				return id
-			}
+	return cmp.Or(shareOf(s.sentTo, process), shareOf(s.gotFrom, process))
+}
+
+// shareOf returns the ID of a process's share among those dealt with, empty if it has
+// none.
+func shareOf(dealt map[string]int64, process string) string {
+	for id := range dealt {
+		if ProcessOf(id) == process {
+			return id
 		}
 	}
 	return ""
--- a/coord/escrow/gift.go
+++ b/coord/escrow/gift.go
@@ -116,12 +116,7 @@
 func (s *Share) gotFromAny(process string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.gotFrom {
-		if ProcessOf(id) == process {
-			return true
-		}
-	}
-	return false
+	return shareOf(s.gotFrom, process) != ""
 }
 
 // unacked returns the gifts that their receivers have not acknowledged.
--- a/coord/escrow/home.go
+++ b/coord/escrow/home.go
@@ -44,11 +44,15 @@
 // home returns the process that draws a budget for these mates, this one if there
 // is no other but those not wanted.
 func (h *Holder) home(budget string, mates []string, now time.Time, not ...string) string {
+	return h.best(budget, slices.DeleteFunc(slices.Clone(mates), func(p string) bool {
+		return slices.Contains(not, p) || p != h.process && h.shunned.has(p, now)
+	}))
+}
+
+// best returns the process that ranks first for a budget, this one if there is none.
+func (h *Holder) best(budget string, processes []string) string {
 	best, top := h.process, uint64(0)
-	for _, p := range mates {
-		if slices.Contains(not, p) || p != h.process && h.shunned.has(p, now) {
-			continue
-		}
+	for _, p := range processes {
 		if score := h.score(budget, p); score > top {
 			best, top = p, score
 		}
@@ -90,7 +94,7 @@
 	mates := h.mates()
 	now := time.Now()
 	process := h.home(s.budget, mates, now)
-	s.belong(process != h.process)
+	s.muster(process != h.process, len(mates))
 	if n.gathered {
 		return Hold{}, false, errOwn
 	}
@@ -109,7 +113,7 @@
 			return Hold{}, false, ErrCutOff
 		}
 	}
-	s.belong(false)
+	s.muster(false, len(mates))
 	return Hold{}, false, errOwn
 }
 
--- a/coord/escrow/mate.go
+++ b/coord/escrow/mate.go
@@ -20,13 +20,6 @@
 	outliveTime = 5 * time.Second
 )
 
-// belong notes whether the share lives on what its home gives it.
-func (s *Share) belong(member bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sync.member = member
-}
-
 // tidyAll brings the shares that live on their homes near their targets, and returns
 // those that this process draws by itself.
 func (h *Holder) tidyAll(ctx context.Context, shares []*Share, now time.Time) []*Share {
--- a/coord/escrow/world_test.go
+++ b/coord/escrow/world_test.go
@@ -183,10 +183,12 @@
 	return !p.dead
 }
 
-func (w *world) chance(part float64) bool {
+// chance reports whether what happens in a part of the cases does now. The part may be
+// changed at any time, so it is read under the lock.
+func (w *world) chance(part *float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.random.Float64() < part
+	return w.random.Float64() < *part
 }
 
 func (w *world) between(from, to time.Duration) time.Duration {
@@ -252,14 +254,14 @@
 		},
 		Write: func(ctx context.Context, _ string, version int64, b *Book) error {
 			if err := p.reach(ctx); err != nil {
-				if w.chance(0.5) {
+				if half := 0.5; w.chance(&half) {
 					// The caller gave up, but the write was on its way.
 					w.write(version, b)
 				}
 				return err
 			}
 			err := w.write(version, b)
-			if !p.alive() || w.chance(w.lose) {
+			if !p.alive() || w.chance(&w.lose) {
 				return errCut
 			}
 			return err
@@ -319,20 +321,20 @@
 	if q == nil || !p.alive() {
 		return none, errCut
 	}
-	if !w.linked(p.zone, q.zone) || w.chance(w.loss) {
+	if !w.linked(p.zone, q.zone) || w.chance(&w.loss) {
 		<-ctx.Done()
 		return none, errCut
 	}
 	if !sleep(ctx, w.between(200*time.Microsecond, 2*time.Millisecond)) || !q.alive() {
 		return none, errCut
 	}
-	if w.chance(w.twice) {
+	if w.chance(&w.twice) {
 		if _, err := call(q.holder); err != nil {
 			return none, err
 		}
 	}
 	answer, err := call(q.holder)
-	if !sleep(ctx, w.between(200*time.Microsecond, 2*time.Millisecond)) || !w.linked(p.zone, q.zone) || w.chance(w.loss) || !p.alive() {
+	if !sleep(ctx, w.between(200*time.Microsecond, 2*time.Millisecond)) || !w.linked(p.zone, q.zone) || w.chance(&w.loss) || !p.alive() {
 		return none, errCut
 	}
 	return answer, err
@@ -344,7 +346,7 @@
 		Near:   func() []string { return p.others(false) },
 		Mates:  p.mates,
 		Guards: func() []string { return p.others(true) },
-		Silent: func(process string) bool { return p.silent(process) != w.chance(w.lies) },
+		Silent: func(process string) bool { return p.silent(process) != w.chance(&w.lies) },
 		Ask: func(ctx context.Context, process string, plea Plea) (Reply, error) {
 			return carry(ctx, p, process, func(h *Holder) (Reply, error) { return h.TakePlea(ctx, plea), nil })
 		},
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -27,7 +27,7 @@
 
 const (
 	// firstTime is how long a start waits for the first configuration, whose
-	// limits the callers' surface takes over.
+	// limits the callers' surface takes over, and for its budgets to be paid in.
 	firstTime = 1500 * time.Millisecond
 	// headTime and callerIdle bound callers while no configuration does.
 	headTime   = 5 * time.Second
