--- a/coord/escrow/control.go
+++ b/coord/escrow/control.go
@@ -132,7 +132,7 @@
 	defer s.mu.Unlock()
 	c := &s.sync
 	believed := cmp.Or(c.policy.Dry, dryTime)
-	return c.free <= 0 && now.Sub(c.readAt) < believed || now.Sub(c.failAt) < awayTime
+	return c.free <= 0 && now.Sub(c.readAt) < believed || c.failAt.After(c.readAt) && now.Sub(c.failAt) < awayTime
 }
 
 // away reports whether the last call to the platform failed.
--- a/coord/escrow/home_test.go
+++ b/coord/escrow/home_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -247,3 +248,23 @@
 		}
 	})
 }
+
+// TestReadingEndsAway reserves after a call to the platform that failed was followed by
+// one that did not. The platform is asked again, not passed over and yet believed.
+func TestReadingEndsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		h := NewHolder("entry-0/1", Platform{Update: func(context.Context, string, func(*Book) (bool, error)) error {
+			asked++
+			return errCut
+		}}, Peers{}, nil)
+		s := h.Share(testBudget, settled)
+		now := time.Now()
+		s.mu.Lock()
+		s.sync.free, s.sync.failAt, s.sync.readAt = 100_000, now.Add(-10*time.Millisecond), now
+		s.mu.Unlock()
+		if _, again, err := h.turn(t.Context(), s, Need{Amount: 900}, now.Add(time.Second)); again && asked == 0 {
+			t.Errorf("asked nobody, and would try again at once after %v", err)
+		}
+	})
+}
