forward/serve: log how a response was framed and how it ended

The line of an attempt now has the framing, the bytes after the last complete event and, if it failed, the error that ended the response, cut off at 240 bytes; a counter has the same by framing and end. What is relayed is unchanged. TestScripts/logged shows the lines.

--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -170,11 +170,12 @@
 		"request": x.request.ID, "route": x.route.Name, "version": x.table.Version(), "endpoint": e.ID,
 		"zone": e.Zone, "cached": pk.CachedTokens(), "send": x.attempts, "ms": time.Since(x.startedAt).Milliseconds(),
 	}
+	x.received.addFields(f)
 	if err == nil {
 		x.Logger.WithFields(f).Info("send: answered")
 		return
 	}
-	f["reason"] = err.Error()
+	f["reason"] = reasonOf(err)
 	x.Logger.WithFields(f).Info("send: failed")
 }
 
@@ -182,6 +183,7 @@
 // returns nil if the caller got the complete response. Afterwards it puts a reusable
 // connection back into the pool and closes any other.
 func (x *exchange) attempt(ctx context.Context, pk *picker.Pick) error {
+	x.received = receipt{}
 	e := pk.Endpoint()
 	conn, err := x.Pool.Get(ctx, e.Address, false)
 	if err != nil {
@@ -202,7 +204,7 @@
 	ranBefore := x.mayHaveRun
 	x.mayHaveRun = true // undone below if the endpoint reports that it did not run the request
 	if err := conn.Send(r); err != nil {
-		return errors.CombineErrors(errIncomplete, err)
+		return incomplete(err)
 	}
 	keep, err = x.relayResponse(ctx, pk, conn, r)
 	if errors.Is(err, errNotRun) {
@@ -241,6 +243,7 @@
 		return false, timer.cause(err)
 	}
 	conn.SetIdleTimeout(header.IdleTimeout)
+	x.received = newReceipt(resp)
 	if header.NotRun {
 		return x.discard(resp), errNotRun
 	}
@@ -249,6 +252,7 @@
 	} else {
 		err = x.relay.nonStream(ctx, resp, timer)
 	}
+	x.Metrics.bodyEnded(x.received, err)
 	return err == nil || errors.Is(err, errFailed), timer.cause(err)
 }
 
@@ -265,7 +269,7 @@
 	for range maxStaleResponses {
 		resp, err := conn.ReadResponse(r)
 		if err != nil {
-			return nil, meta.Response{}, errors.CombineErrors(errIncomplete, err)
+			return nil, meta.Response{}, incomplete(err)
 		}
 		header := x.Codec.DecodeResponse(resp.StatusCode, resp.Header)
 		if header.ID == x.request.ID || header.ID == "" && header.NotRun {
--- a/internal/forward/serve/finish.go
+++ b/internal/forward/serve/finish.go
@@ -78,7 +78,7 @@
 		x.Metrics.firstData(name, x.relay.firstAt.Sub(x.startedAt))
 	}
 	if err != nil {
-		f["reason"] = err.Error()
+		f["reason"] = reasonOf(err)
 	}
 	x.Metrics.requestEnded(name, outcome, took)
 	x.Logger.WithFields(f).Info("request: ended")
--- a/internal/forward/serve/metrics.go
+++ b/internal/forward/serve/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 )
 
 // Metrics holds the counters and histograms of forwarded requests. Create it with
@@ -39,3 +40,18 @@
 func (m *Metrics) connected(reused bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jacinthladder_endpoint_connections_total{reused=\"%t\"}", reused)).Inc()
 }
+
+// bodyEnded counts a response of an endpoint by the framing of its body and by how the
+// body ended. Err is the error of the attempt that received the response.
+func (m *Metrics) bodyEnded(r receipt, err error) {
+	end := "abandoned"
+	switch {
+	case r.partial > 0:
+		end = "inside_event"
+	case err == nil, errors.Is(err, errFailed):
+		end = "whole"
+	case errors.Is(err, errIncomplete):
+		end = "error"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("jacinthladder_endpoint_bodies_total{framing=%q,end=%q}", r.framing, end)).Inc()
+}
--- /dev/null
+++ b/internal/forward/serve/receipt.go
@@ -0,0 +1,45 @@
+package serve
+
+import (
+	"net/http"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/forward/conns"
+)
+
+// maxReason bounds the length of a logged reason in bytes, because an error of the
+// HTTP parser quotes what the endpoint sent.
+const maxReason = 240
+
+// receipt describes the response that one attempt received, for the log and the
+// metrics. The zero value means that no header of a response arrived.
+type receipt struct {
+	status  int // HTTP status
+	framing conns.Framing
+	partial int // bytes of a stream after its last complete event
+}
+
+func newReceipt(resp *http.Response) receipt {
+	return receipt{status: resp.StatusCode, framing: conns.FramingOf(resp)}
+}
+
+// addFields adds the description of the response to the fields of a log line.
+func (r receipt) addFields(f log.Fields) {
+	if r.status != 0 {
+		f["status"], f["framing"], f["partial"] = r.status, string(r.framing), r.partial
+	}
+}
+
+// incomplete returns errIncomplete with the error that ended the response as its
+// cause.
+func incomplete(cause error) error {
+	return errors.Mark(errors.Wrap(cause, errIncomplete.Error()), errIncomplete)
+}
+
+// reasonOf returns the message of an error, cut off at maxReason.
+func reasonOf(err error) string {
+	reason := err.Error()
+	return reason[:min(len(reason), maxReason)]
+}
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -75,7 +75,7 @@
 func (r *relay) nonStream(ctx context.Context, resp *http.Response, timer *stallTimer) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
 	if err != nil {
-		return errors.CombineErrors(errIncomplete, err)
+		return incomplete(err)
 	}
 	timer.stop()
 	if resp.StatusCode >= http.StatusInternalServerError || statusSaysNotRun(resp.StatusCode) {
@@ -100,7 +100,7 @@
 		return nil
 	}
 	if _, err := io.Copy(r.x.w, resp.Body); err != nil {
-		return errors.CombineErrors(errIncomplete, err)
+		return incomplete(err)
 	}
 	return nil
 }
@@ -149,9 +149,10 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			r.x.received.partial = n
 			return nil
 		case err != nil:
-			return errors.CombineErrors(errIncomplete, err)
+			return incomplete(err)
 		}
 	}
 }
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/cockroachdb/datadriven"
 
 	"jacinthladder.dev/coord/escrow"
@@ -41,6 +41,8 @@
 //	                 the requests that endpoints received
 //	retries N        sets the number of retries allowed in 10 s
 //	budget ACCOUNT   prints the used and reserved tokens of the account's budget
+//	sends            prints the log lines of the attempts at endpoints since the last
+//	                 sends command
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
 		f := newFixture(t)
@@ -67,6 +69,8 @@
 			case "budget":
 				s := f.reserver.Stats(f.table.AccountByKey("key-" + d.CmdArgs[0].Key))
 				return fmt.Sprintf("used %d reserved %d\n", s.Used(), s.Reserved())
+			case "sends":
+				return f.takeSends()
 			}
 			d.Fatalf(t, "the script has the unknown command %s", d.Cmd)
 			return ""
@@ -84,6 +88,9 @@
 	ledger     *escrow.Ledger // of the budget; read and written in memory in place of the platform
 	retries    *retry.Window  // limits the retries of all services
 
+	logs       *memory.Handler
+	loggedSize int // number of log entries that takeSends has handled
+
 	mu   sync.Mutex
 	seen []string // descriptions of the requests that endpoints received
 }
@@ -91,7 +98,7 @@
 // newFixture starts a forwarding server that has no endpoints and no configuration
 // yet. It allows at most 100 retries in 10 s.
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{ledger: escrow.NewLedger("field")}
+	f := &fixture{ledger: escrow.NewLedger("field"), logs: memory.New()}
 	holder := escrow.NewHolder("entry/1", escrow.Store{
 		Read:  func(context.Context, string) (*escrow.Ledger, int64, error) { return f.ledger, 1, nil },
 		Write: func(_ context.Context, _ string, _ int64, l *escrow.Ledger) error { f.ledger = l; return nil },
@@ -103,7 +110,7 @@
 	f.server = &Server{
 		Table: func() *route.Table { return f.table }, Picker: picker.NewPicker("ikeja"), Pool: &conns.Pool{}, Reserver: f.reserver,
 		Retries: func(string) *retry.Window { return retries }, Codec: meta.Native(),
-		Metrics: NewMetrics(metrics.NewSet()), Logger: &log.Logger{Handler: discard.New()},
+		Metrics: NewMetrics(metrics.NewSet()), Logger: &log.Logger{Handler: f.logs},
 	}
 	f.httpServer = httptest.NewServer(f.server)
 	f.httpServer.Config.ErrorLog = nil
@@ -299,3 +306,23 @@
 	f.seen = nil
 	return out.String()
 }
+
+// takeSends returns the log lines of the attempts at endpoints that were logged since
+// the last call, without the fields that differ between runs.
+func (f *fixture) takeSends() string {
+	var out bytes.Buffer
+	for _, e := range f.logs.Entries[f.loggedSize:] {
+		if !strings.HasPrefix(e.Message, "send: ") {
+			continue
+		}
+		fmt.Fprint(&out, e.Message)
+		for _, name := range []string{"endpoint", "status", "framing", "partial", "reason"} {
+			if v, ok := e.Fields[name]; ok {
+				fmt.Fprintf(&out, " %s=%v", name, v)
+			}
+		}
+		fmt.Fprintln(&out)
+	}
+	f.loggedSize = len(f.logs.Entries)
+	return out.String()
+}
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -86,6 +86,7 @@
 	mayHaveRun bool     // the request may have run at an endpoint
 	relay      *relay   // writes the response to the caller
 	lastErr    error    // error of the last failed attempt
+	received   receipt  // describes the response of the current attempt
 }
 
 // ServeHTTP forwards one request to an endpoint and relays the response, or sends a
