--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -30,8 +30,17 @@
 	"jacinthladder.dev/internal/forward/route"
 )
 
-// TestScripts runs the scripts in testdata. A script defines the responses of
-// endpoints and shows the responses that callers get. The commands are:
+// TestScripts runs the scripts in testdata/routes.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/routes", runScript)
+}
+
+func TestStreamEndingInsideEventIsNotFramedAsComplete(t *testing.T) {
+	runScript(t, "testdata/broken/stream")
+}
+
+// runScript runs one script. A script defines the responses of endpoints and shows the
+// responses that callers get. The commands are:
 //
 //	endpoint ID      starts an endpoint; each line is the response to one request,
 //	                 in order, with the steps write "TEXT", wait TIME, reset, close
@@ -43,38 +52,36 @@
 //	budget ACCOUNT   prints the used and reserved tokens of the account's budget
 //	sends            prints the log lines of the attempts at endpoints since the last
 //	                 sends command
-func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
-		f := newFixture(t)
-		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
-			switch d.Cmd {
-			case "endpoint":
-				f.startEndpoint(t, d.CmdArgs[0].Key, d.Input)
-				return ""
-			case "gone":
-				f.server.Picker.Remove(d.CmdArgs[0].Key)
-				return ""
-			case "table":
-				f.configure(t, d.Input)
-				return ""
-			case "request":
-				return f.sendRequest(t, d.Input)
-			case "retries":
-				limit, err := strconv.Atoi(d.CmdArgs[0].Key)
-				if err != nil {
-					d.Fatalf(t, "the argument of the command retries is not a number: %v", err)
-				}
-				f.retries.SetLimit(0, float64(limit))
-				return ""
-			case "budget":
-				s := f.reserver.Stats(f.table.AccountByKey("key-" + d.CmdArgs[0].Key))
-				return fmt.Sprintf("used %d reserved %d\n", s.Used(), s.Reserved())
-			case "sends":
-				return f.takeSends()
+func runScript(t *testing.T, file string) {
+	f := newFixture(t)
+	datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "endpoint":
+			f.startEndpoint(t, d.CmdArgs[0].Key, d.Input)
+			return ""
+		case "gone":
+			f.server.Picker.Remove(d.CmdArgs[0].Key)
+			return ""
+		case "table":
+			f.configure(t, d.Input)
+			return ""
+		case "request":
+			return f.sendRequest(t, d.Input)
+		case "retries":
+			limit, err := strconv.Atoi(d.CmdArgs[0].Key)
+			if err != nil {
+				d.Fatalf(t, "the argument of the command retries is not a number: %v", err)
 			}
-			d.Fatalf(t, "the script has the unknown command %s", d.Cmd)
+			f.retries.SetLimit(0, float64(limit))
 			return ""
-		})
+		case "budget":
+			s := f.reserver.Stats(f.table.AccountByKey("key-" + d.CmdArgs[0].Key))
+			return fmt.Sprintf("used %d reserved %d\n", s.Used(), s.Reserved())
+		case "sends":
+			return f.takeSends()
+		}
+		d.Fatalf(t, "the script has the unknown command %s", d.Cmd)
+		return ""
 	})
 }
 
