forward/serve: break off the response when a stream ends inside an event

Cause: the relay took the end of the connection for the end of the stream. If a response has neither a length nor chunks, the HTTP library reports each end of the connection as io.EOF. At io.EOF the relay passed on whatever followed the last complete event and let the server write the last chunk. Nothing looked at whether an event was open.

Evidence: TestStreamEndingInsideEventIsNotFramedAsComplete failed on the code before in all its five cases (neither length nor chunks, chunks, length, first event, resumable route): the part of the event was passed on, and the response had its end.

The reader of events now returns errInsideEvent if bytes follow the last complete event, and drops them. That error takes the path of every broken connection: a resumable stream goes on after the last complete event at another endpoint, any other ends without its last chunk, and one that had no complete event gets a 502.

--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -117,8 +117,8 @@
 
 // stream relays a stream of events from the endpoint of pk to the caller, and marks
 // the prompt as prefilled at the first event of the request. It sends only complete
-// events. If the response ends normally, the bytes after the last complete event are
-// sent too. Each event restarts the timer.
+// events: a response that ends inside an event is incomplete, however it is framed. Each
+// event restarts the timer.
 func (r *relay) stream(ctx context.Context, pk *picker.Pick, resp *http.Response, timer *stallTimer) error {
 	br := bufio.NewReader(resp.Body)
 	var batch bytes.Buffer
@@ -148,8 +148,10 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, errInsideEvent):
 			r.x.received.partial = n
+			return incomplete(err)
+		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
 			return incomplete(err)
@@ -176,8 +178,8 @@
 
 // readEvent reads one event and appends it, with its final empty line, to b. It
 // returns the length of the event in bytes and its ID, which is empty if the event
-// has none. At the end of the stream it appends the remaining bytes and returns
-// io.EOF. After any other error, b is as before.
+// has none. At the end of the stream it returns io.EOF, or errInsideEvent if the bytes
+// since the last event are not a complete one. After an error, b is as before.
 func readEvent(br *bufio.Reader, b *bytes.Buffer) (n int, id string, err error) {
 	start := b.Len()
 	for {
@@ -188,8 +190,9 @@
 		case errors.Is(err, bufio.ErrBufferFull) && n < maxEvent:
 			continue
 		case err != nil:
-			if !errors.Is(err, io.EOF) {
-				b.Truncate(start) // the event is incomplete
+			b.Truncate(start)
+			if n > 0 && errors.Is(err, io.EOF) {
+				err = errInsideEvent
 			}
 			return n, id, err
 		}
