forward/serve: relay no failure response that was read in part

Callers got, framed as complete, the first 262,144 bytes of an endpoint's failure response (5xx) that is longer and has no stated length. The relay keeps a failure response while other endpoints are tried, read it up to the bound and never noted that the bound was what ended the reading.

Evidence: TestLongFailureResponseIsNotCutAndFramedAsComplete failed before, with 500 and 262,144 bytes of 262,145. One byte more than the bound is read now, so a body that is too long is known, and the caller gets a 502 with the reason in place of a part.

--- a/internal/forward/serve/finish.go
+++ b/internal/forward/serve/finish.go
@@ -39,13 +39,20 @@
 
 // relayFailure relays the last failure response that an endpoint has sent. It
 // returns the outcome of the request for the log and the metrics. If the status of
-// that response says that the request did not run, although it may have run, the
-// caller gets a refusal instead. The refusal has no headers of the endpoint and
-// therefore not its seal.
+// that response says that the request did not run, although it may have run, or if its
+// body was too long to be kept, the caller gets a refusal instead. The refusal has no
+// headers of the endpoint and therefore not its seal.
 func (x *exchange) relayFailure() string {
 	resp := x.relay.failedResponse
-	if statusSaysNotRun(resp.StatusCode) {
-		refuse(NoResponse, "the endpoint failed with status %d", resp.StatusCode).write(x.w, &x.Codec, x.request.ID)
+	var refusal *Refusal
+	switch {
+	case statusSaysNotRun(resp.StatusCode):
+		refusal = refuse(NoResponse, "the endpoint failed with status %d", resp.StatusCode)
+	case len(x.relay.failedBody) > maxBuffered:
+		refusal = refuse(NoResponse, "the endpoint failed with status %d and a response longer than %d bytes", resp.StatusCode, maxBuffered)
+	}
+	if refusal != nil {
+		refusal.write(x.w, &x.Codec, x.request.ID)
 		return "endpoint_failed"
 	}
 	x.relay.writeHeader(resp)
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// maxBuffered is the number of bytes of a response, other than a stream, that
-	// are read before the first byte is relayed. If the connection fails within
-	// these bytes, the caller gets no part of the response.
+	// maxBuffered is the length in bytes of the longest response, other than a stream,
+	// that is read completely before the first byte is relayed. If the connection of
+	// such a response fails, the caller gets no part of it.
 	maxBuffered = 256 << 10
 	// maxEvent bounds the length of an event of a stream, in bytes. The bound is
 	// checked only in the middle of a line that is longer than the reader's buffer.
@@ -42,7 +42,7 @@
 	firstAt     time.Time // when the first data of the response arrived from an endpoint
 
 	failedResponse *http.Response // last failure response of an endpoint, relayed if no other endpoint succeeds
-	failedBody     []byte         // body of failedResponse, cut off at maxBuffered
+	failedBody     []byte         // body of failedResponse; longer than maxBuffered if it is not complete
 }
 
 func newRelay(x *exchange) *relay {
@@ -73,7 +73,7 @@
 // or says that the request did not run, is not relayed. It is kept in
 // failedResponse, and errFailed is returned.
 func (r *relay) nonStream(ctx context.Context, resp *http.Response, timer *stallTimer) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
 	if err != nil {
 		return incomplete(err)
 	}
@@ -85,8 +85,8 @@
 	return r.sendBody(resp, body)
 }
 
-// sendBody sends a response to the caller. Body holds the first bytes of the
-// response body, up to maxBuffered. The remaining bytes are read from resp.
+// sendBody sends a response to the caller. Body is the response body, or its first bytes
+// if it is longer than maxBuffered. The remaining bytes are read from resp.
 func (r *relay) sendBody(resp *http.Response, body []byte) error {
 	if r.status != 0 {
 		return errors.WithMessage(errIncomplete, "the endpoint did not resume the stream")
@@ -96,7 +96,7 @@
 	if _, err := r.x.w.Write(body); err != nil {
 		return errCallerGone
 	}
-	if len(body) < maxBuffered {
+	if len(body) <= maxBuffered {
 		return nil
 	}
 	if _, err := io.Copy(r.x.w, resp.Body); err != nil {
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -39,11 +39,16 @@
 	runScript(t, "testdata/broken/stream")
 }
 
+func TestLongFailureResponseIsNotCutAndFramedAsComplete(t *testing.T) {
+	runScript(t, "testdata/broken/failure")
+}
+
 // runScript runs one script. A script defines the responses of endpoints and shows the
 // responses that callers get. The commands are:
 //
 //	endpoint ID      starts an endpoint; each line is the response to one request,
-//	                 in order, with the steps write "TEXT", wait TIME, reset, close
+//	                 in order, with the steps write "TEXT", fill BYTES, wait TIME,
+//	                 reset, close
 //	gone ID          removes the endpoint from the picker
 //	table            sets the configuration: route, account and limits lines
 //	request          sends the HTTP request in the input; prints the response and
@@ -239,6 +244,9 @@
 			step, rest, _ = strings.Cut(script, "; ")
 			script = rest
 			switch {
+			case strings.HasPrefix(step, "fill "):
+				n, _ := strconv.Atoi(strings.TrimPrefix(step, "fill "))
+				nc.Write(bytes.Repeat([]byte("x"), n))
 			case strings.HasPrefix(step, "wait "):
 				d, _ := time.ParseDuration(strings.TrimPrefix(step, "wait "))
 				time.Sleep(d)
@@ -269,6 +277,9 @@
 	f.seen = append(f.seen, line)
 }
 
+// maxPrinted is the length in bytes of the longest body that sendRequest prints.
+const maxPrinted = 1024
+
 // sendRequest sends the HTTP request in input to the server. It returns a
 // description of the response and of the requests that endpoints received meanwhile.
 func (f *fixture) sendRequest(t *testing.T, input string) string {
@@ -299,7 +310,11 @@
 		if resp.Header.Get("Retry-After") != "" {
 			fmt.Fprintln(&out, "Retry-After is set")
 		}
-		fmt.Fprintf(&out, "%s\n", strings.ReplaceAll(string(respBody), "\n\n", "\n"))
+		if len(respBody) <= maxPrinted {
+			fmt.Fprintf(&out, "%s\n", strings.ReplaceAll(string(respBody), "\n\n", "\n"))
+		} else {
+			fmt.Fprintf(&out, "%d bytes\n", len(respBody))
+		}
 		if err != nil {
 			fmt.Fprintln(&out, "broken off")
 		}
