forward/conns: reuse no connection whose response was not read to its end

A request could be sent on a connection on which the rest of an earlier failure response was still to come; it would be taken for the start of the next response, and that request would get a 502 although its endpoint served it.

A failure response longer than what is kept was put back after its first part, and the bytes that follow need not have arrived when the idle connection is checked.

The connection itself now records whether the body of its last response was read to the end that its framing gives, and the pool asks that.

--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -30,6 +31,7 @@
 	idleTimeout time.Duration // how long the connection may stay idle in the pool
 	reused      bool          // the connection has served a request before
 	closing     bool          // the endpoint closes the connection after the response
+	unread      bool          // the body of the last response was not read to its end
 	bodyResult  chan error    // receives the result of a background write of the body; nil if there is none
 }
 
@@ -104,12 +106,32 @@
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			c.closing = c.closing || resp.Close
+			if resp.Body != http.NoBody {
+				c.unread = true
+				resp.Body = &body{ReadCloser: resp.Body, conn: c}
+			}
 			return resp, nil
 		}
 	}
 	return nil, errors.New("conns: the endpoint sent only interim (1xx) responses to the request")
 }
 
+// body is the body of a response. It records on its connection that it was read to its
+// end.
+type body struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read reads from the body of the response.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.unread = false
+	}
+	return n, err
+}
+
 // SetIdleTimeout sets the idle timeout that the endpoint announced for the
 // connection. The connection expires in the pool earlier than that, so that it is
 // not reused while the endpoint closes it. If d is 0, the endpoint announced no
@@ -121,10 +143,10 @@
 }
 
 // reusable reports whether the connection may serve another request: the endpoint
-// keeps it open, the last request was fully written, and no unread bytes are
-// buffered.
+// keeps it open, the last request was fully written, the body of the last response was
+// read to its end, and no unread bytes are buffered.
 func (c *Conn) reusable() bool {
-	if c.closing || c.br.Buffered() > 0 {
+	if c.closing || c.unread || c.br.Buffered() > 0 {
 		return false
 	}
 	if c.bodyResult == nil {
