forward/serve: reset the connection of an HTTP/1.0 caller whose response breaks off

A caller of HTTP/1.0 got a stream that had broken off as if it were complete.

Evidence: TestBrokenOffResponseIsNotFramedAsCompleteForHTTP10Callers failed before: the caller read the start of the stream and the end of the connection, no error.

The connection of such a caller is now taken over and reset. Responses over HTTP/1.1 are broken off as before, because a reset can discard events that the caller has not read yet.

--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -203,6 +203,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetLinger sets how Close handles data that was not sent, as net.TCPConn.SetLinger does.
+func (c *conn) SetLinger(seconds int) error {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Newf("drain: a connection of type %T has no linger option", c.Conn)
+	}
+	return t.SetLinger(seconds)
+}
+
 // Close closes the connection and stops tracking it.
 func (c *conn) Close() error {
 	c.conns.mu.Lock()
--- a/internal/forward/serve/finish.go
+++ b/internal/forward/serve/finish.go
@@ -12,7 +12,7 @@
 // complete response. If no response has begun, it sends the caller either the last
 // failure response of an endpoint or the refusal in err. It records how the request
 // ended. If the response is incomplete or the caller has disconnected, it aborts the
-// connection to the caller by a panic with http.ErrAbortHandler.
+// connection to the caller.
 func (x *exchange) finish(err error) {
 	var refusal *Refusal
 	outcome := "answered"
@@ -33,10 +33,36 @@
 	}
 	x.recordEnd(outcome, err)
 	if abort {
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 }
 
+// abort closes the connection to the caller without an end of the response, by a panic
+// with http.ErrAbortHandler. A response over HTTP/1.0 has no chunks and may end with its
+// connection, so that connection is reset.
+func (x *exchange) abort() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		if err := x.resetCaller(); err != nil {
+			x.Logger.WithFields(log.Fields{"request": x.request.ID, "reason": err.Error()}).Warn("request: cannot reset the caller's connection")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetCaller closes the connection to the caller with a TCP reset.
+func (x *exchange) resetCaller() error {
+	nc, _, err := x.relay.control.Hijack()
+	if err != nil {
+		return errors.Wrap(err, "serve: take over the connection")
+	}
+	defer nc.Close()
+	c, ok := nc.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.Newf("serve: a connection of type %T cannot be reset", nc)
+	}
+	return errors.Wrap(c.SetLinger(0), "serve: reset the connection")
+}
+
 // relayFailure relays the last failure response that an endpoint has sent. It
 // returns the outcome of the request for the log and the metrics. If the status of
 // that response says that the request did not run, although it may have run, or if its
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,9 +21,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/coord/retry"
+	"jacinthladder.dev/internal/fleet/drain"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
 	"jacinthladder.dev/internal/forward/picker"
@@ -43,6 +46,22 @@
 	runScript(t, "testdata/broken/failure")
 }
 
+func TestBrokenOffResponseIsNotFramedAsCompleteForHTTP10Callers(t *testing.T) {
+	f := newFixture(t)
+	f.configure(t, "route /r/ kind=stream")
+	f.startEndpoint(t, "a", `write "HTTP/1.1 200 OK\r\nJacinthladder-Request: $ID\r\n\r\nid: 1\ndata: x\n\nid: 2"; wait 20ms; close`)
+	nc, err := net.Dial("tcp", f.httpServer.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(nc, "POST /r/x HTTP/1.0\r\nHost: h\r\nJacinthladder-Request: q1\r\n\r\n")
+	if _, err := io.ReadAll(nc); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the response ended with error %v, want a reset connection", err)
+	}
+}
+
 // runScript runs one script. A script defines the responses of endpoints and shows the
 // responses that callers get. The commands are:
 //
@@ -124,8 +143,9 @@
 		Retries: func(string) *retry.Window { return retries }, Codec: meta.Native(),
 		Metrics: NewMetrics(metrics.NewSet()), Logger: &log.Logger{Handler: f.logs},
 	}
-	f.httpServer = httptest.NewServer(f.server)
-	f.httpServer.Config.ErrorLog = nil
+	f.httpServer = httptest.NewUnstartedServer(f.server)
+	f.httpServer.Listener = new(drain.Conns).Listener(f.httpServer.Listener)
+	f.httpServer.Start()
 	t.Cleanup(f.httpServer.Close)
 	return f
 }
