fleet/peers: reject a peer's reply that has neither a length nor chunks

Nothing seen in operation; found by looking for the cause of ORDER between instances. A peer's reply that is cut off would be taken as whole: a cut Protobuf message is a valid one with fields at zero. A sealed mark of 0 would let a peer collect what a share has spent.

Cause: as in ORDER, without a length or chunks the end of the connection is reported as the end of the body. Our own instances state the length of each reply, so no reply of theirs is affected; another server at a reused address need not.

The transport of the client now fails on a reply without framing.

--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -51,7 +51,7 @@
 	}
 	return &Client{
 		table:  table,
-		client: &http.Client{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 8}},
+		client: &http.Client{Transport: framedTransport{&http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 8}}},
 		stubs:  map[string]wire.Peers{},
 	}
 }
