entry/send: take no failure of an engine for the usage of a cancelled run

A request whose caller left could be billed as if it had used nothing: when the engine answers the cancellation with a failure in JSON, the usage was read from it as zeros.

Evidence: TestFailedCancelIsNotTakenForAUsageOfZero failed before. Any status but 200 and 404 is now an ErrBroken, on which the caller of Cancel bills what it knows. A stream of this surface that is cut anywhere inside its last event was and is broken: TestStreamCutInsideItsLastEventIsBroken passes on the code before too, as the end needs a chunk with the usage.

--- a/internal/entry/send/send.go
+++ b/internal/entry/send/send.go
@@ -126,8 +126,12 @@
 		return price.Usage{}, errors.Mark(err, ErrBroken)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusNotFound {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
 		return price.Usage{}, ErrNoStream
+	default:
+		return price.Usage{}, errors.Wrapf(ErrBroken, "engine returned status %d", resp.StatusCode)
 	}
 	var u usageFields
 	if err := json.NewDecoder(resp.Body).Decode(&u); err != nil {
