route/health: take no failure of an engine for a report of no load

An engine whose load reports fail with a status and JSON looked idle to the choice of endpoints, so it got more requests than the others. TestFailureIsNotTakenForAReportOfNoLoad failed before; a status other than 200 is now an error, and the last report stands.

--- a/internal/route/health/poller.go
+++ b/internal/route/health/poller.go
@@ -62,6 +62,9 @@
 		return LoadReport{}, errors.Wrap(err, "health: request the load report of an engine")
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return LoadReport{}, errors.Newf("health: the engine returned status %d for its load report", resp.StatusCode)
+	}
 	var report LoadReport
 	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
 		return LoadReport{}, errors.Wrap(err, "health: decode the load report of an engine")
