tools/slopes: count no stream that was cut as measured

TestCutStreamIsNotMeasuredAsComplete fails on the copy that stood there (an io.Copy without a look at the end). A stream must now end with its last event.

--- a/internal/tools/slopes/testbed.go
+++ b/internal/tools/slopes/testbed.go
@@ -233,6 +233,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("open stream: got status %d, want 200", resp.StatusCode)
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err
+	return readStream(resp.Body)
 }
