--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -249,7 +249,7 @@
 	if header.NotRun {
 		return x.discard(resp), errNotRun
 	}
-	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
+	if x.route.Kind == route.Stream && resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices {
 		err = x.relay.stream(ctx, pk, resp, timer)
 	} else {
 		err = x.relay.nonStream(ctx, resp, timer)
