entry/flow: bill a keyed call if the instance of another attempt at its key is gone

An owner now returns the attempt because of which it denies the bill. The instance asks the process of that attempt, as one that joins an attempt does, and if it is gone takes the attempt over and bills. If that process lives, it bills, as before. (wire: ClaimAnswer.first is also set for an END that is not ok; an older owner leaves it empty, and the bill stays denied.)

--- a/coord/dedup/dedup.go
+++ b/coord/dedup/dedup.go
@@ -84,6 +84,18 @@
 	return a
 }
 
+// Find returns the attempt that is stored for a key and has not expired, and whether there
+// is one.
+func (r *Registry) Find(key string, now time.Time) (Attempt, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[key]
+	if e == nil || !now.Before(e.expiresAt) {
+		return Attempt{}, false
+	}
+	return e.Attempt, true
+}
+
 // SetEndpoint records the URL of the endpoint where a process runs its attempt at a
 // key. It does nothing if the attempt no longer belongs to that process.
 func (r *Registry) SetEndpoint(key, process, endpoint string) {
--- a/internal/entry/flow/keyed.go
+++ b/internal/entry/flow/keyed.go
@@ -29,6 +29,9 @@
 	// maxSegment is the maximum size of one segment of a response, in bytes. A single
 	// chunk may be larger.
 	maxSegment = 1 << 20
+	// endTimeout limits the time to end an attempt at the owners of its key, and to ask
+	// the instance that made another attempt at the key.
+	endTimeout = 5 * time.Second
 	// storeTimeout limits the time to store the response to a call in the claim of its
 	// idempotency key on the platform.
 	storeTimeout = 5 * time.Second
@@ -162,6 +165,24 @@
 	}
 }
 
+// gone reports whether the instance that makes an attempt is gone or does not know the
+// attempt. An attempt without a process is of an instance that does not say which.
+func (p *Pipeline) gone(ctx context.Context, attempt dedup.Attempt) bool {
+	if attempt.Process == "" {
+		return false
+	}
+	for range maxPollFailures {
+		_, err := p.fetchSegment(ctx, &wire.FollowAsk{Key: attempt.Key, Request: attempt.Request, Process: attempt.Process})
+		if err == nil {
+			return false
+		}
+		if errors.Is(err, peers.ErrUnknownProcess) {
+			return true
+		}
+	}
+	return true
+}
+
 // fetchSegment asks another instance once for the next segment of a response that it
 // produces.
 func (p *Pipeline) fetchSegment(ctx context.Context, ask *wire.FollowAsk) (*wire.FollowAnswer, error) {
--- a/internal/entry/flow/pipeline.go
+++ b/internal/entry/flow/pipeline.go
@@ -286,10 +286,21 @@
 
 // endAttempt ends the attempt at the call c in the registry. It reports whether this
 // instance bills the call. The result is false if another instance has taken the
-// attempt over, and then that instance bills the call. A call without an idempotency
-// key is not in the registry, and the result is true.
+// attempt over or made an attempt of its own, and then that instance bills the call,
+// unless it is gone. A call without an idempotency key is not in the registry, and the
+// result is true.
 func (p *Pipeline) endAttempt(ctx context.Context, c *call.Call) bool {
-	return c.Key() == "" || p.Registry.End(context.WithoutCancel(ctx), p.attemptOf(c))
+	if c.Key() == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
+	other, ok := p.Registry.End(ctx, p.attemptOf(c))
+	if ok || !p.gone(ctx, other) {
+		return ok
+	}
+	p.Logger.Warnf("claim: request %s is billed in place of the attempt of request %s, because process %s is gone", c.ID(), other.Request, other.Process)
+	return p.Registry.TakeOver(ctx, other, c.Service().ReplayTTL())
 }
 
 // notRun reports whether err is a refusal with the outcome NotRun. It is false if err
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -93,39 +94,47 @@
 	if registered := r.Register(ctx, a, ttl); registered.Process != a.Process {
 		return registered.Process == r.Process()
 	}
-	return r.callAll(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_TAKE, Attempt: toWire(a), To: r.Process()})
+	for _, resp := range r.callAll(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_TAKE, Attempt: toWire(a), To: r.Process()}) {
+		if !resp.GetOk() {
+			return false
+		}
+	}
+	return true
 }
 
 // End marks an attempt as ended at the owners of its key. It reports whether this process
-// may bill the attempt. The result is true unless an owner reports that another process
-// has taken the attempt over.
-func (r *Registry) End(ctx context.Context, a dedup.Attempt) bool {
-	return r.callAll(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_END, Attempt: toWire(a)})
+// may bill the attempt. The result is true unless an owner has an attempt of another
+// process at the key, which End returns: that process has taken the attempt over, or made
+// an attempt of its own.
+func (r *Registry) End(ctx context.Context, a dedup.Attempt) (dedup.Attempt, bool) {
+	for _, resp := range r.callAll(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_END, Attempt: toWire(a)}) {
+		if !resp.GetOk() {
+			return fromWire(resp.GetFirst()), false
+		}
+	}
+	return dedup.Attempt{}, true
 }
 
-// callAll sends the operation n to every owner of a key, concurrently. It reports whether
-// all owners that responded accepted the operation. Owners that can't be reached are
-// ignored, and the error of one of them is logged.
-func (r *Registry) callAll(ctx context.Context, key string, n *wire.ClaimNote) bool {
+// callAll sends the operation n to every owner of a key, concurrently, and returns the
+// responses. Owners that can't be reached are ignored, and the error of one of them is
+// logged.
+func (r *Registry) callAll(ctx context.Context, key string, n *wire.ClaimNote) []*wire.ClaimAnswer {
 	var g errgroup.Group
 	owners := r.owners(key)
-	agreed := make([]bool, len(owners))
+	responses := make([]*wire.ClaimAnswer, len(owners))
 	for i, owner := range owners {
 		g.Go(func() error {
 			resp, err := r.call(ctx, owner, &wire.ClaimNote{Op: n.Op, Attempt: n.Attempt, To: n.To})
-			agreed[i] = err != nil || resp.GetOk()
+			if err == nil {
+				responses[i] = resp
+			}
 			return err
 		})
 	}
 	if err := g.Wait(); err != nil {
 		r.logger.WithError(err).Warnf("claim: could not reach an owner of the idempotency key of request %s, the request continues without this owner", n.GetAttempt().GetRequest())
 	}
-	for _, ok := range agreed {
-		if !ok {
-			return false
-		}
-	}
-	return true
+	return slices.DeleteFunc(responses, func(resp *wire.ClaimAnswer) bool { return resp == nil })
 }
 
 // call applies the operation n at one owner of its key. If this process is the owner, call
@@ -141,7 +150,8 @@
 
 // Handle applies an operation that this process or a peer sends to the attempt at a key
 // that this process owns. The field Ok of the result reports whether a takeover or an end
-// was accepted; the field First is the attempt that is stored after a registration.
+// was accepted; the field First is the attempt that is stored after a registration, or the
+// one because of which an end was not accepted.
 func (r *Registry) Handle(n *wire.ClaimNote) *wire.ClaimAnswer {
 	a := fromWire(n.GetAttempt())
 	resp := &wire.ClaimAnswer{Ok: true}
@@ -154,6 +164,9 @@
 		resp.Ok = r.local.TakeOver(a.Key, a.Process, n.GetTo())
 	case wire.Op_END:
 		resp.Ok = r.local.End(a.Key, a.Process)
+		if first, ok := r.local.Find(a.Key, time.Now()); ok && !resp.Ok {
+			resp.First = toWire(first)
+		}
 	case wire.Op_DROP:
 		r.local.Remove(a.Key, a.Process)
 	}
--- a/internal/fleet/owner/owner_test.go
+++ b/internal/fleet/owner/owner_test.go
@@ -32,7 +32,7 @@
 	r := newSingleMember()
 	a := dedup.Attempt{Key: "key", Request: "r-1", Process: "entry-0/1"}
 	r.Register(t.Context(), a, time.Minute)
-	if !r.End(t.Context(), a) {
+	if _, ok := r.End(t.Context(), a); !ok {
 		t.Fatal("End of an attempt by its own process returned false, want true")
 	}
 	if r.TakeOver(t.Context(), a, time.Minute) {
