forward: heed what an endpoint says of itself in its responses

Endpoints that say in a response that they are leaving, or turn a request away with a time for which they want no more, got requests until the registry spoke or an ejection of 0.25 s to 0.75 s had passed, and as the last resort also during it; turning away counted as failing.

- A response that says so marks its endpoint as leaving at once; heartbeats tell the others.
- A leave is kept with the start time of the endpoint.
Before, an older registry entry reverted it, as each heartbeat of a ready entry replaced what a peer had said; and a peer's word, which had no start time, could not tell the endpoint from its successor under the same ID.
- A 503 with Retry-After keeps this instance away for so long (a minute at most).
The endpoint counts as full: its failure ratio stays.
If all endpoints of a service turn away, the caller is refused at once with the time at which the first is free.

A response with status 421 comes from another endpoint at the address and says nothing of the expected one.

--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -92,7 +92,7 @@
 	holder := front.NewHolder(processID, shards, table, peersClient, set, logger)
 	reserver := front.NewReserver(s, holder, shards, table)
 	retryLimits := front.NewRetryLimits(s, table)
-	server := front.NewServer(table, holder, feeds, picker)
+	server := front.NewServer(table, holder, feeds, picker, logger)
 	gossiper := front.NewGossiper(peersClient, server, s, logger)
 	pool := front.NewPool()
 	serveServer := front.NewForwarder(routes, picker, pool, reserver, retryLimits, set, logger)
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -375,7 +375,7 @@
 // NewServer returns the server that handles the calls of peers. It exchanges the
 // configuration and the IDs of endpoints that are leaving with them. When a peer reports
 // an endpoint as leaving, the server marks the endpoint as leaving in p.
-func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker) *peers.Server {
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, logger log.Interface) *peers.Server {
 	return &peers.Server{
 		Members: t, Holder: h,
 		Config: peers.ConfigSync{
@@ -383,14 +383,16 @@
 		},
 		LocalHeartbeat: func() *peerwire.BeatNote {
 			n := peers.NewHeartbeat(t, f.routes.Version())
-			for _, id := range p.Leaving() {
-				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: id})
+			for _, e := range p.Leaving() {
+				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: e.ID, Started: e.StartedAt})
 			}
 			return n
 		},
 		OnHeartbeat: func(n *peerwire.BeatNote) {
 			for _, l := range n.GetLeaving() {
-				p.MarkLeaving(l.GetEndpoint())
+				if p.MarkLeaving(l.GetEndpoint(), l.GetStarted(), time.Now()) {
+					logger.WithFields(log.Fields{"endpoint": l.GetEndpoint(), "source": member.Name(n.GetSelf().GetProcess())}).Info("endpoint: leaving, a peer said so")
+				}
 			}
 		},
 	}
--- a/internal/forward/meta/codec.go
+++ b/internal/forward/meta/codec.go
@@ -42,6 +42,8 @@
 	ID          string        // ID of the request that is answered, empty if not stated
 	NotRun      bool          // the endpoint reports that it did not run the request
 	IdleTimeout time.Duration // after which the endpoint closes the idle connection, 0 if not stated
+	Leaving     bool          // the endpoint reports that it is leaving and must get no new requests
+	RetryAfter  time.Duration // for which the endpoint, which turned the request away, wants no further ones, 0 if not stated
 }
 
 // Codec converts between the headers of requests and responses and their metadata,
--- a/internal/forward/meta/native.go
+++ b/internal/forward/meta/native.go
@@ -18,6 +18,8 @@
 	headerEndpoint    = "Jacinthladder-Endpoint"
 	headerAccount     = "Jacinthladder-Account"
 	headerOutcome     = "Jacinthladder-Outcome"
+	headerLeaving     = "Jacinthladder-Leaving" // "true" in the responses of an endpoint that is leaving
+	headerRetryAfter  = "Retry-After"           // seconds, may have a fraction
 	headerLastEventID = "Last-Event-Id"
 	headerKey         = "Authorization"
 
@@ -33,14 +35,31 @@
 		EncodeRequest: encodeNative,
 		DecodeResponse: func(status int, h http.Header) Response {
 			return Response{
-				ID:     h.Get(headerID),
-				NotRun: status == http.StatusMisdirectedRequest || h.Get(headerOutcome) == outcomeNotRun,
+				ID:         h.Get(headerID),
+				NotRun:     status == http.StatusMisdirectedRequest || h.Get(headerOutcome) == outcomeNotRun,
+				Leaving:    h.Get(headerLeaving) == "true" && status != http.StatusMisdirectedRequest,
+				RetryAfter: RetryAfter(status, h.Get(headerRetryAfter)),
 			}
 		},
 		EchoID: func(h http.Header, id string) { h.Set(headerID, id) },
 	}
 }
 
+// maxRetryAfter bounds the time for which a response can keep requests away from its
+// endpoint, because an endpoint that has become free does not say so.
+const maxRetryAfter = time.Minute
+
+// RetryAfter returns the time for which an endpoint wants no further requests, given the
+// status of its response and the value of the header Retry-After in seconds. It is 0 if
+// the status is not 503 or the value is not a positive number, and at most a minute.
+func RetryAfter(status int, value string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if status != http.StatusServiceUnavailable || err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // decodeNative decodes the native headers of a caller's request. The texts of its
 // errors are sent to the caller.
 func decodeNative(h http.Header) (Request, error) {
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -55,14 +55,19 @@
 	// Rejected means that the endpoint reported that it did not run the request, for
 	// example because it is full.
 	Rejected
+	// Busy means that the endpoint turned the request away and said for how long it
+	// wants no further ones. TurnAway records that time.
+	Busy
 	// Canceled means that the caller disconnected. This says nothing about the
 	// endpoint.
 	Canceled
 )
 
 // String returns "done" for Succeeded, "failed" for Failed, "broken" for Incomplete,
-// "full" for Rejected or "dropped" for Canceled.
-func (r Result) String() string { return [...]string{"done", "failed", "broken", "full", "dropped"}[r] }
+// "full" for Rejected, "busy" for Busy or "dropped" for Canceled.
+func (r Result) String() string {
+	return [...]string{"done", "failed", "broken", "full", "busy", "dropped"}[r]
+}
 
 // endpointState holds the registry entry of an endpoint and the observations that
 // the picker has made of the endpoint.
@@ -75,9 +80,16 @@
 	failRatioAt  time.Time    // when the last result was recorded
 	incompletes  int          // incomplete responses since the last success
 	ejectedUntil time.Time    // end of the ejection
+	busyUntil    time.Time    // until when the endpoint wants no requests
 	warmUntil    time.Time    // end of the warm-up
 }
 
+// incarnation identifies one of successive endpoints with the same ID.
+type incarnation struct {
+	id        string
+	startedAt int64
+}
+
 // Picker tracks the endpoints of all services and picks one for each request. Create
 // it with NewPicker.
 type Picker struct {
@@ -87,20 +99,31 @@
 	cacheSizes map[string]int64            // by service, size of the KV cache of each engine in tokens
 	endpoints  map[string]*endpointState   // by ID
 	available  map[string][]*endpointState // by service, the endpoints that are not leaving, sorted by ID
+	left       map[incarnation]time.Time   // when each endpoint was last known to be leaving
 }
 
 // NewPicker returns a picker for an instance in the given zone. The picker knows no
 // endpoints until Update adds them.
 func NewPicker(zone string) *Picker {
-	return &Picker{zone: zone, cacheSizes: map[string]int64{}, endpoints: map[string]*endpointState{}, available: map[string][]*endpointState{}}
+	return &Picker{
+		zone: zone, cacheSizes: map[string]int64{}, endpoints: map[string]*endpointState{},
+		available: map[string][]*endpointState{}, left: map[incarnation]time.Time{},
+	}
 }
 
 // Update adds the registry entry of an endpoint, or replaces it, and reports whether
 // the entry changed. If the address or the start time differs, the picker forgets
-// the results and the cached prompt parts that it has observed at the endpoint.
+// the results and the cached prompt parts that it has observed at the endpoint. An
+// endpoint that was known to be leaving stays so, whatever a later entry says, until
+// its start time differs.
 func (p *Picker) Update(e Endpoint, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if e.Leaving {
+		p.recordLeave(e.ID, e.StartedAt, now)
+	} else if _, ok := p.left[incarnation{e.ID, e.StartedAt}]; ok {
+		e.Leaving = true
+	}
 	s := p.endpoints[e.ID]
 	if s != nil && s.Endpoint == e {
 		return false
@@ -122,35 +145,61 @@
 	p.cacheSizes[service] = tokens
 }
 
-// MarkLeaving marks the endpoint with the given ID as leaving, so that it gets no
-// new requests. It does nothing if the endpoint is unknown.
-func (p *Picker) MarkLeaving(id string) {
+// MarkLeaving marks the endpoint with the given ID and start time as leaving, so that
+// it gets no new requests, also if the picker does not know it yet. It reports whether
+// the picker knew the endpoint as one that was not leaving.
+func (p *Picker) MarkLeaving(id string, startedAt int64, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.endpoints[id]; s != nil && !s.Leaving {
-		s.Leaving = true
-		p.refreshAvailable()
+	p.recordLeave(id, startedAt, now)
+	s := p.endpoints[id]
+	if s == nil || s.StartedAt != startedAt || s.Leaving {
+		return false
+	}
+	s.Leaving = true
+	p.refreshAvailable()
+	return true
+}
+
+// leaveTTL is how long the picker remembers that an endpoint is leaving after it last
+// heard so. It exceeds the time that an endpoint takes to leave, and that for which old
+// entries of the registry can come back.
+const leaveTTL = 10 * time.Minute
+
+// recordLeave records that an endpoint is leaving, and forgets those of which this was
+// last heard more than leaveTTL ago. The caller holds the lock.
+func (p *Picker) recordLeave(id string, startedAt int64, now time.Time) {
+	i := incarnation{id, startedAt}
+	if _, known := p.left[i]; !known {
+		for other, at := range p.left {
+			if now.Sub(at) > leaveTTL {
+				delete(p.left, other)
+			}
+		}
 	}
+	p.left[i] = now
 }
 
-// Leaving returns the IDs of the endpoints that are leaving.
-func (p *Picker) Leaving() []string {
+// Leaving returns the entries of the endpoints that are leaving.
+func (p *Picker) Leaving() []Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var ids []string
-	for id, s := range p.endpoints {
+	var leaving []Endpoint
+	for _, s := range p.endpoints {
 		if s.Leaving {
-			ids = append(ids, id)
+			leaving = append(leaving, s.Endpoint)
 		}
 	}
-	return ids
+	return leaving
 }
 
 // Remove removes the endpoint with the given ID and reports whether the picker knew
-// it.
+// it. If the endpoint has no start time, one that is added later under the same ID
+// counts as another endpoint.
 func (p *Picker) Remove(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.left, incarnation{id: id})
 	if p.endpoints[id] == nil {
 		return false
 	}
@@ -235,7 +284,7 @@
 // Pick places a request at the endpoint with the lowest cost and counts the request
 // as running there. It picks an ejected endpoint only if no other one has a free
 // slot. It returns nil if every endpoint of the service is leaving, listed in
-// info.Tried or without a free slot.
+// info.Tried, busy or without a free slot.
 func (p *Picker) Pick(info PickInfo, now time.Time) *Pick {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,6 +301,7 @@
 			Slots: s.Slots, Running: s.running, QueuedTokens: s.queuedTokens, CachedTokens: s.cache.cachedTokens(info.Request.Parts),
 			Preferred: s == preferred,
 			FailRatio: s.currentFailRatio(now), CrossZone: s.Zone != p.zone, WarmingUp: now.Before(s.warmUntil), Ejected: now.Before(s.ejectedUntil),
+			Busy: now.Before(s.busyUntil),
 		})
 	}
 	if len(available) == 0 {
@@ -319,9 +369,36 @@
 	}
 }
 
+// TurnAway records that the endpoint wants no requests for the time wait from now on.
+func (pk *Pick) TurnAway(wait time.Duration, now time.Time) {
+	pk.picker.mu.Lock()
+	defer pk.picker.mu.Unlock()
+	if until := now.Add(wait); until.After(pk.state.busyUntil) {
+		pk.state.busyUntil = until
+	}
+}
+
+// BusyFor returns the time until the first endpoint of a service accepts requests again.
+// It is 0 if the service has an endpoint that is neither leaving nor busy, or has none.
+func (p *Picker) BusyFor(service string, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first time.Duration
+	for _, s := range p.available[service] {
+		wait := s.busyUntil.Sub(now)
+		if wait <= 0 {
+			return 0
+		}
+		if first == 0 || wait < first {
+			first = wait
+		}
+	}
+	return first
+}
+
 // End stops counting the request as running at its endpoint and records its result.
-// A result other than Canceled changes the endpoint's failure ratio. Incomplete and
-// Rejected eject the endpoint, and Succeeded ends its ejection.
+// A result other than Canceled and Busy changes the endpoint's failure ratio. Incomplete
+// and Rejected eject the endpoint, and Succeeded ends its ejection.
 func (pk *Pick) End(r Result, now time.Time) {
 	pk.picker.mu.Lock()
 	defer pk.picker.mu.Unlock()
@@ -337,7 +414,7 @@
 	case Incomplete, Rejected:
 		s.recordResult(1, now)
 		s.eject(r, now)
-	case Canceled:
+	case Busy, Canceled:
 	}
 }
 
--- a/internal/forward/place/place.go
+++ b/internal/forward/place/place.go
@@ -49,6 +49,7 @@
 	CrossZone    bool    // the endpoint is in another zone than this instance
 	WarmingUp    bool    // the endpoint started recently and is still slow
 	Ejected      bool    // the endpoint failed recently; Best returns it only if all others are ejected or full
+	Busy         bool    // the endpoint has turned a request away and wants none yet; it counts as full
 }
 
 // Cost returns the cost of placing a request at a candidate, expressed as a delay.
@@ -83,7 +84,7 @@
 	for i := range candidates {
 		index := (i + start) % len(candidates)
 		c := candidates[index]
-		if c.Slots > 0 && c.Running >= c.Slots {
+		if c.Busy || c.Slots > 0 && c.Running >= c.Slots {
 			continue
 		}
 		d := Cost(r, c)
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -23,6 +23,9 @@
 	// minResponseTimeout is the least time that an endpoint has to begin its
 	// response to a retryable request. After it, another endpoint may be tried.
 	minResponseTimeout = 150 * time.Millisecond
+	// busySpread is the time over which the retries of callers are spread after all
+	// endpoints of a service have turned requests away.
+	busySpread = 200 * time.Millisecond
 	// minGapTimeout is the least pause between two events of a resumable stream
 	// after which another endpoint may continue the stream.
 	minGapTimeout = 900 * time.Millisecond
@@ -115,6 +118,9 @@
 		return refuse(NoResponse, "the request left and no whole answer came")
 	case x.Picker.Available(x.service.Name) == 0:
 		return refuse(NoCapacity, "no endpoint of the service is known").withRetryAfter(x.retryAfter())
+	case x.Picker.BusyFor(x.service.Name, time.Now()) > 0:
+		wait := x.Picker.BusyFor(x.service.Name, time.Now())
+		return refuse(NoCapacity, "all endpoints of the service turn requests away").withRetryAfter(wait + rand.N(busySpread))
 	default:
 		return refuse(NoCapacity, "no endpoint took the request").withRetryAfter(x.retryAfter())
 	}
@@ -155,6 +161,8 @@
 		return picker.Succeeded
 	case errors.Is(err, errCallerGone), x.r.Context().Err() != nil:
 		return picker.Canceled
+	case x.received.retryAfter > 0:
+		return picker.Busy
 	case errors.Is(err, errNotRun):
 		return picker.Rejected
 	case errors.Is(err, errFailed):
@@ -245,7 +253,8 @@
 		return false, timer.cause(err)
 	}
 	conn.SetIdleTimeout(header.IdleTimeout)
-	x.received = newReceipt(resp)
+	x.received = newReceipt(resp, header)
+	x.noteState(pk)
 	if header.NotRun {
 		return x.discard(resp), errNotRun
 	}
@@ -258,6 +267,21 @@
 	return err == nil || errors.Is(err, errFailed), timer.cause(err)
 }
 
+// noteState passes on to the picker what the response says about the state of the
+// endpoint of pk: that it is leaving, or for how long it wants no requests.
+func (x *exchange) noteState(pk *picker.Pick) {
+	now := time.Now()
+	e := pk.Endpoint()
+	if x.received.leaving && x.Picker.MarkLeaving(e.ID, e.StartedAt, now) {
+		x.Metrics.leaveAnnounced(x.service.Name)
+		x.Logger.WithFields(log.Fields{"request": x.request.ID, "endpoint": e.ID, "service": x.service.Name}).Info("endpoint: leaving, its response said so")
+	}
+	if x.received.retryAfter > 0 {
+		x.Metrics.turnedAway(x.service.Name)
+		pk.TurnAway(x.received.retryAfter, now)
+	}
+}
+
 // maxStaleResponses is the largest number of responses that readHeader reads from a
 // connection in search of the response to this request. Responses to other requests,
 // which arrive late, are counted.
--- a/internal/forward/serve/metrics.go
+++ b/internal/forward/serve/metrics.go
@@ -55,3 +55,15 @@
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("jacinthladder_endpoint_bodies_total{framing=%q,end=%q}", r.framing, end)).Inc()
 }
+
+// leaveAnnounced counts an endpoint of a service whose response was the first to say
+// that it is leaving.
+func (m *Metrics) leaveAnnounced(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jacinthladder_endpoint_leaves_announced_total{service=%q}", service)).Inc()
+}
+
+// turnedAway counts a request that an endpoint of a service turned away with a time for
+// which it wants no further ones.
+func (m *Metrics) turnedAway(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jacinthladder_endpoint_turned_away_total{service=%q}", service)).Inc()
+}
--- a/internal/forward/serve/receipt.go
+++ b/internal/forward/serve/receipt.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/internal/forward/conns"
+	"jacinthladder.dev/internal/forward/meta"
 )
 
 // maxReason bounds the length of a logged reason in bytes, because an error of the
@@ -19,16 +21,29 @@
 	status  int // HTTP status
 	framing conns.Framing
 	partial int // bytes of a stream after its last complete event
+
+	leaving    bool          // the endpoint reports that it is leaving
+	retryAfter time.Duration // for which the endpoint wants no further requests, 0 if it does not say so
 }
 
-func newReceipt(resp *http.Response) receipt {
-	return receipt{status: resp.StatusCode, framing: conns.FramingOf(resp)}
+func newReceipt(resp *http.Response, header meta.Response) receipt {
+	return receipt{
+		status: resp.StatusCode, framing: conns.FramingOf(resp),
+		leaving: header.Leaving, retryAfter: header.RetryAfter,
+	}
 }
 
 // addFields adds the description of the response to the fields of a log line.
 func (r receipt) addFields(f log.Fields) {
-	if r.status != 0 {
-		f["status"], f["framing"], f["partial"] = r.status, string(r.framing), r.partial
+	if r.status == 0 {
+		return
+	}
+	f["status"], f["framing"], f["partial"] = r.status, string(r.framing), r.partial
+	if r.leaving {
+		f["leaving"] = true
+	}
+	if r.retryAfter > 0 {
+		f["wait"] = r.retryAfter.Milliseconds()
 	}
 }
 
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -358,7 +358,7 @@
 			continue
 		}
 		fmt.Fprint(&out, e.Message)
-		for _, name := range []string{"endpoint", "status", "framing", "partial", "reason"} {
+		for _, name := range []string{"endpoint", "status", "framing", "partial", "leaving", "wait", "reason"} {
 			if v, ok := e.Fields[name]; ok {
 				fmt.Fprintf(&out, " %s=%v", name, v)
 			}
