forward/serve: read an event whole whose line fills the buffer

Cause: a long line comes in parts, and a part that is the line break alone looked like the empty line that ends an event. Lines are now put together first.

The bound on the length of an event held only within one line; it holds for the event now. The reader of events moves to a file of its own.

--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -43,8 +43,6 @@
 	// errIncomplete means that no complete response to the request was received: the
 	// connection broke, or the endpoint sent something other than that response.
 	errIncomplete = errors.New("serve: no whole answer")
-	// errInsideEvent means that a stream has ended inside an event.
-	errInsideEvent = errors.New("the stream ended inside an event")
 	// errStalled means that the stall timer has closed the connection to the
 	// endpoint. The endpoint did not begin its response in time or paused for too
 	// long between two events.
--- /dev/null
+++ b/internal/forward/serve/event.go
@@ -0,0 +1,61 @@
+package serve
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEvent is the length of the longest event of a stream that is relayed, in bytes.
+const maxEvent = 1 << 20
+
+var (
+	// errInsideEvent means that a stream has ended inside an event.
+	errInsideEvent = errors.New("the stream ended inside an event")
+	// errEventTooLong means that an event of a stream is longer than maxEvent.
+	errEventTooLong = errors.New("an event of the stream is too long")
+)
+
+// readEvent reads one event and appends it, with its final empty line, to b. It
+// returns the length of the event in bytes and its ID, which is empty if the event
+// has none. At the end of the stream it returns io.EOF, or errInsideEvent if the bytes
+// since the last event are not a complete one. After an error, b is as before.
+func readEvent(br *bufio.Reader, b *bytes.Buffer) (n int, id string, err error) {
+	start := b.Len()
+	for {
+		lineStart := b.Len()
+		err := readLine(br, b, start+maxEvent)
+		n := b.Len() - start
+		if err != nil {
+			b.Truncate(start)
+			if n > 0 && errors.Is(err, io.EOF) {
+				err = errInsideEvent
+			}
+			return n, id, err
+		}
+		line := bytes.TrimRight(b.Bytes()[lineStart:], "\r\n")
+		if len(line) == 0 {
+			return n, id, nil
+		}
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(rest))
+		}
+	}
+}
+
+// readLine reads a line of any length and appends it, with its line break, to b. It
+// fails with errEventTooLong if b would then be longer than limit.
+func readLine(br *bufio.Reader, b *bytes.Buffer, limit int) error {
+	for {
+		part, err := br.ReadSlice('\n')
+		b.Write(part)
+		switch {
+		case b.Len() > limit:
+			return errEventTooLong
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return err
+		}
+	}
+}
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -22,9 +22,6 @@
 	// that is read completely before the first byte is relayed. If the connection of
 	// such a response fails, the caller gets no part of it.
 	maxBuffered = 256 << 10
-	// maxEvent bounds the length of an event of a stream, in bytes. The bound is
-	// checked only in the middle of a line that is longer than the reader's buffer.
-	maxEvent = 1 << 20
 	// maxDiscarded bounds the bytes of an unwanted response that are read so that
 	// its connection can be reused. If the response is at least as long, its
 	// connection is closed.
@@ -176,36 +173,6 @@
 	return nil
 }
 
-// readEvent reads one event and appends it, with its final empty line, to b. It
-// returns the length of the event in bytes and its ID, which is empty if the event
-// has none. At the end of the stream it returns io.EOF, or errInsideEvent if the bytes
-// since the last event are not a complete one. After an error, b is as before.
-func readEvent(br *bufio.Reader, b *bytes.Buffer) (n int, id string, err error) {
-	start := b.Len()
-	for {
-		line, err := br.ReadSlice('\n')
-		b.Write(line)
-		n += len(line)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && n < maxEvent:
-			continue
-		case err != nil:
-			b.Truncate(start)
-			if n > 0 && errors.Is(err, io.EOF) {
-				err = errInsideEvent
-			}
-			return n, id, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return n, id, nil
-		}
-		if rest, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(rest))
-		}
-	}
-}
-
 // discard reads the body of an unwanted response and drops it. It reports whether
 // the connection may be reused, which requires that the body is shorter than
 // maxDiscarded.
