platform: order what the store says by its era

After the store had come back from an older copy of its content, instances ignored the operator's and the endpoints' changes until the revisions, given out again, had passed those they knew, and a conditional write could succeed on other content under the same revision.

Cause: the revision was taken for the order of changes, which it is only within an era.

--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -88,6 +88,9 @@
 func NewStore(s *setup.Settings, client *http.Client, set *metrics.Set, logger log.Interface) *object.Store {
 	store := platform.NewStore(s.PlatformURL(), client, func(err error) {
 		logger.WithError(err).Warn("store: skipped an object that could not be decoded")
+	}, func(before, now int64) {
+		set.GetOrCreateCounter("jacinthladder_platform_eras_total").Inc()
+		logger.WithFields(log.Fields{"before": before, "now": now}).Warn("store: the platform is back from an older copy, what was written there since is gone")
 	})
 	return object.Instrument(store, func(verb, kind string, err error) {
 		set.GetOrCreateCounter(callCounterName(verb, kind, object.Outcome(err))).Inc()
