ledger: write back what the platform's store has lost before ledgers change again

Cause: the ledger in the store was taken for the whole truth, and no instance wrote back what it knew to be acknowledged.

In a new era no ledger is edited until each instance that reaches the store had the time to write back the ledgers of which it knows a higher version; then one notes the era in the shard.

The lock that is held during a write becomes a semaphore, so that the model can wait in virtual time.

--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -86,13 +86,13 @@
 	picker := front.NewPicker(s)
 	feeds := front.NewFeeds(s, store, routes, picker, logger)
 	processID := node.NewProcessID(s)
-	shards := front.NewShards(s, store)
 	table := front.NewMembers(processID, s)
 	peersClient := node.NewClient(table)
+	shards := front.NewShards(s, store, peersClient, set, logger)
 	holder := front.NewHolder(processID, shards, table, peersClient, set, logger)
 	reserver := front.NewReserver(s, holder, shards, table)
 	retryLimits := front.NewRetryLimits(s, table)
-	server := front.NewServer(table, holder, feeds, picker, logger)
+	server := front.NewServer(table, holder, feeds, picker, shards, logger)
 	gossiper := front.NewGossiper(peersClient, server, s, logger)
 	pool := front.NewPool()
 	serveServer := front.NewForwarder(routes, picker, pool, reserver, retryLimits, set, logger)
@@ -105,6 +105,7 @@
 		Routes:      routes,
 		Feeds:       feeds,
 		Picker:      picker,
+		Shards:      shards,
 		Holder:      holder,
 		Reserver:    reserver,
 		RetryLimits: retryLimits,
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -16,6 +16,7 @@
 	"jacinthladder.dev/coord/member"
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/fleet/drain"
+	"jacinthladder.dev/internal/fleet/ledger"
 	"jacinthladder.dev/internal/fleet/node"
 	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/fleet/peers"
@@ -71,6 +72,7 @@
 	Routes      *Routes
 	Feeds       *Feeds
 	Picker      *picker.Picker
+	Shards      *ledger.Shards
 	Holder      *escrow.Holder
 	Reserver    *prepay.Reserver
 	RetryLimits *RetryLimits
@@ -111,7 +113,7 @@
 	defer stopLoops()
 	var work sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.Feeds.routes.Run, n.Feeds.endpoints.Run, n.Holder.Run, n.Gossiper.Run, n.syncPayments, n.closeExpired,
+		n.Feeds.routes.Run, n.Feeds.endpoints.Run, n.Shards.Run, n.Holder.Run, n.Gossiper.Run, n.syncPayments, n.closeExpired,
 	} {
 		work.Go(func() { loop(loopCtx) })
 	}
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -292,10 +292,31 @@
 // applies on a platform that accepts few writes.
 const minShards = 4
 
+// writeBackTime is how long an instance may take to write back the ledgers that the
+// platform has lost, after the watches of its feeds have shown it the loss.
+const writeBackTime = 1500 * time.Millisecond
+
 // NewShards returns the store of ledgers on the platform. The number of its shards follows
-// from the setting for the platform's write rate.
-func NewShards(s *setup.Settings, store *object.Store) *ledger.Shards {
-	return ledger.NewShards(store, max(s.Forward().WriteRate/writesPerShard, minShards))
+// from the setting for the platform's write rate. A peer remembers each write, in case that
+// the platform comes back from an older copy. If no peer does so, the write is counted, and
+// counts all the same: an instance that is alone has nobody to ask.
+func NewShards(s *setup.Settings, store *object.Store, c *peers.Client, set *metrics.Set, logger log.Interface) *ledger.Shards {
+	shards := ledger.NewShards(store, max(s.Forward().WriteRate/writesPerShard, minShards))
+	shards.RecoveryTime = time.Duration(s.Forward().WatchTimeout) + writeBackTime
+	unrecorded := set.GetOrCreateCounter("jacinthladder_budget_writes_unrecorded_total")
+	shards.Record = func(ctx context.Context, r ledger.Record) {
+		if !c.Keep(ctx, r) {
+			unrecorded.Inc()
+		}
+	}
+	shards.Recovered = func(shard string, newer int, complete bool) {
+		set.GetOrCreateCounter("jacinthladder_budget_ledgers_written_back_total").Add(newer)
+		logger.WithFields(log.Fields{"shard": shard, "newer": newer, "complete": complete}).Warn("ledger: wrote back what the platform has lost")
+	}
+	shards.RecoveryFailed = func(shard string, err error) {
+		logger.WithError(err).WithField("shard", shard).Warn("ledger: could not write back what the platform has lost")
+	}
+	return shards
 }
 
 // NewReserver returns the reserver, which reserves prepaid tokens for requests. After a
@@ -378,9 +399,9 @@
 // NewServer returns the server that handles the calls of peers. It exchanges the
 // configuration and the IDs of endpoints that are leaving with them. When a peer reports
 // an endpoint as leaving, the server marks the endpoint as leaving in p.
-func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, logger log.Interface) *peers.Server {
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, shards *ledger.Shards, logger log.Interface) *peers.Server {
 	return &peers.Server{
-		Members: t, Holder: h,
+		Members: t, Holder: h, HandleKeep: shards.Keep,
 		Config: peers.ConfigSync{
 			Changed: f.routes.Changed, CompleteVersion: f.routes.Version, Since: f.routes.Since, MergePeer: f.routes.MergePeer,
 		},
--- a/internal/fleet/ledger/shards.go
+++ b/internal/fleet/ledger/shards.go
@@ -49,6 +49,22 @@
 // Each ledger has a version of its own, so that a write conflicts only with another
 // write of the same budget. Use NewShards to create one.
 type Shards struct {
+	// RecoveryTime is how long no ledger of a shard is changed after this instance has
+	// learned that the platform came back from an older copy. All instances that reach the
+	// platform must learn of it and write back what they know in that time. NewShards sets
+	// a default.
+	RecoveryTime time.Duration
+	// Record, if set, is called with the ledgers that a write has changed, before the
+	// result of the write is used. It makes another instance remember them (see Keep), so
+	// that they are not lost if the platform loses them while this process ends.
+	Record func(ctx context.Context, r Record)
+	// Recovered, if set, is called when this instance has written a shard after the
+	// platform came back from an older copy: with the name of the shard, the number of
+	// ledgers that were newer at this instance, and whether the shard is complete now.
+	// RecoveryFailed, if set, is called with the error of a write that failed.
+	Recovered      func(shard string, newer int, complete bool)
+	RecoveryFailed func(shard string, err error)
+
 	store  *object.Store
 	shards []*shard
 }
@@ -56,9 +72,9 @@
 // NewShards returns a store with count shards, at least one. The count determines in
 // which shard a budget's ledger is, so all instances must use the same count.
 func NewShards(store *object.Store, count int) *Shards {
-	s := &Shards{store: store}
+	s := &Shards{store: store, RecoveryTime: defaultRecoveryTime}
 	for i := range max(count, 1) {
-		s.shards = append(s.shards, &shard{store: store, name: fmt.Sprintf("group-%d", i)})
+		s.shards = append(s.shards, &shard{owner: s, store: store, name: fmt.Sprintf("group-%d", i), writing: make(chan struct{}, 1)})
 	}
 	return s
 }
@@ -81,10 +97,14 @@
 // Read returns the ledger of a budget and the version of this ledger, not of its shard. It
 // fails with escrow.ErrNotFound if the budget has no ledger.
 func (s *Shards) Read(ctx context.Context, budget string) (*escrow.Ledger, int64, error) {
-	content, err := s.shardFor(budget).read(ctx)
+	sh := s.shardFor(budget)
+	content, err := sh.read(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
+	if !sh.complete(content) {
+		return nil, 0, errIncomplete
+	}
 	e, ok := content.Ledgers[budget]
 	if !ok {
 		return nil, 0, errors.Wrap(escrow.ErrNotFound, budget)
@@ -135,11 +155,16 @@
 	}})
 }
 
-// shardJSON is the stored form of a shard: its ledgers by the name of their budget.
+// shardJSON is the stored form of a shard: its ledgers by the name of their budget, and
+// the last era of the platform in which the content was complete (see recovery).
 type shardJSON struct {
 	Ledgers map[string]entryJSON `json:"books"`
+	Era     int64                `json:"era,omitempty"`
 }
 
+// clone returns a copy of the content with a map of its own.
+func (c shardJSON) clone() shardJSON { return shardJSON{Ledgers: maps.Clone(c.Ledgers), Era: c.Era} }
+
 // entryJSON is one stored ledger with its version, which starts at 1 and increases by 1
 // with each write of this ledger.
 type entryJSON struct {
@@ -183,17 +208,19 @@
 // shard is one platform object that holds ledgers, with its pending reads and writes. All
 // pending reads share the next read call, and all pending writes the next write call.
 type shard struct {
+	owner *Shards
 	store *object.Store
 	name  string // name of the platform object
 
 	mu        sync.Mutex
-	nextRead  *pendingRead // read that further calls can still join, nil if there is none
-	nextBatch *writeBatch  // batch that further changes can still join, nil if there is none
-	writeLock sync.Mutex   // held while a batch is written
+	nextRead  *pendingRead  // read that further calls can still join, nil if there is none
+	nextBatch *writeBatch   // batch that further changes can still join, nil if there is none
+	writing   chan struct{} // semaphore, held while a batch is written
 
 	cached        shardJSON // content as last read or written; its map is never modified
 	cachedVersion int64     // version of the platform object, 0 if nothing is cached
 	cachedAt      time.Time // when the content was read or written
+	recovery      recovery  // what is known of content that the platform has lost
 }
 
 // pendingRead is a read of a shard that several callers wait for.
@@ -285,8 +312,8 @@
 // written. Then it writes the batch.
 func (s *shard) runBatch(ctx context.Context, w *writeBatch) {
 	awaitBatch(ctx)
-	s.writeLock.Lock()
-	defer s.writeLock.Unlock()
+	s.writing <- struct{}{}
+	defer func() { <-s.writing }()
 	s.mu.Lock()
 	s.nextBatch = nil
 	s.mu.Unlock()
@@ -306,22 +333,8 @@
 		return
 	}
 	for try := range maxWriteAttempts {
-		content, version, err := s.readForWrite(ctx, try == 0)
-		if err != nil {
-			failAll(changes, err)
-			return
-		}
-		if !applyAll(changes, content) {
-			return
-		}
-		data, err := json.Marshal(content)
-		if err != nil {
-			failAll(changes, err)
-			return
-		}
-		written, err := s.store.Put(ctx, ShardKind, s.name, version, data)
+		err := s.tryCommit(ctx, changes, try == 0)
 		if err == nil {
-			s.setCached(content, written)
 			return
 		}
 		if !errors.Is(err, object.ErrConflict) {
@@ -333,6 +346,32 @@
 	failAll(changes, escrow.ErrConflict)
 }
 
+// tryCommit makes one attempt of commit. It fails with object.ErrConflict if another
+// instance has written the shard. The argument allowCached is that of readForWrite.
+func (s *shard) tryCommit(ctx context.Context, changes []*change, allowCached bool) error {
+	content, version, err := s.readForWrite(ctx, allowCached)
+	if err != nil {
+		return err
+	}
+	if content, version, err = s.recover(ctx, content, version); err != nil {
+		return err
+	}
+	if !applyAll(changes, content) {
+		return nil
+	}
+	data, err := json.Marshal(content)
+	if err != nil {
+		return errors.Wrapf(err, "ledger: encode shard %s", s.name)
+	}
+	written, err := s.store.Put(ctx, ShardKind, s.name, version, data)
+	if err != nil {
+		return err
+	}
+	s.setCached(content, written)
+	s.recordAtPeer(ctx, changes, content)
+	return nil
+}
+
 // applyAll runs the edits of all changes on the content of a shard and reports whether
 // any of them has changed the content.
 func applyAll(changes []*change, content shardJSON) bool {
@@ -354,6 +393,7 @@
 func (s *shard) setCached(content shardJSON, version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recovery.note(s.cached, s.cachedVersion, content, version)
 	s.cached, s.cachedVersion, s.cachedAt = content, version, time.Now()
 }
 
@@ -377,20 +417,21 @@
 	}
 	content, version, err := s.fetch(ctx)
 	if err == nil && version > 0 {
-		s.setCached(shardJSON{Ledgers: maps.Clone(content.Ledgers)}, version)
+		s.setCached(content.clone(), version)
 	}
 	return content, version, err
 }
 
 // cachedWithin returns a copy of the shard's cached content and the version of its platform
-// object. The third result is false if the content is older than age or nothing is cached.
+// object. The third result is false if the content is older than age or not complete, or
+// nothing is cached.
 func (s *shard) cachedWithin(age time.Duration) (shardJSON, int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cachedVersion == 0 || time.Since(s.cachedAt) >= age {
+	if s.cachedVersion == 0 || time.Since(s.cachedAt) >= age || !s.complete(s.cached) {
 		return shardJSON{}, 0, false
 	}
-	return shardJSON{Ledgers: maps.Clone(s.cached.Ledgers)}, s.cachedVersion, true
+	return s.cached.clone(), s.cachedVersion, true
 }
 
 // fetch reads the shard from the platform and returns its content and version. A shard
@@ -410,6 +451,9 @@
 	if content.Ledgers == nil {
 		content.Ledgers = map[string]entryJSON{}
 	}
+	if o.Version() == 0 && !s.knowsContent() {
+		content.Era, _ = s.era() // a new shard
+	}
 	return content, o.Version(), nil
 }
 
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -13,6 +13,7 @@
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/coord/member"
 	"jacinthladder.dev/coord/subset"
+	"jacinthladder.dev/internal/fleet/ledger"
 	"jacinthladder.dev/internal/fleet/peers/wire"
 )
 
@@ -259,6 +260,36 @@
 	return reply, errors.Wrap(err, "peers: call Claim")
 }
 
+// keepTimeout bounds one call of Keep, because the result of a write waits for it.
+const keepTimeout = 150 * time.Millisecond
+
+// Keep makes one live peer remember the ledgers of r, preferably one in another zone. It
+// tries at most witnessCount peers and reports whether one has acknowledged.
+func (c *Client) Keep(ctx context.Context, r ledger.Record) bool {
+	n := &wire.KeepNote{Shard: r.Shard, Era: r.Era}
+	for _, l := range r.Ledgers {
+		n.Books = append(n.Books, &wire.BookNote{Budget: l.Budget, Version: l.Version, Book: l.Data})
+	}
+	for _, process := range c.witnesses() {
+		if c.keepAt(ctx, process, n) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// keepAt makes a process remember the ledgers of n.
+func (c *Client) keepAt(ctx context.Context, process string, n *wire.KeepNote) error {
+	stub, err := c.stubFor(process)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	_, err = stub.Keep(ctx, n)
+	return errors.Wrap(err, "peers: call Keep")
+}
+
 // Follow asks the process named in n for the next available chunks of a response that
 // this process produces. It returns ErrUnknownProcess if the process has ended or does
 // not know the request.
--- a/internal/fleet/peers/server.go
+++ b/internal/fleet/peers/server.go
@@ -10,6 +10,7 @@
 
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/coord/member"
+	"jacinthladder.dev/internal/fleet/ledger"
 	"jacinthladder.dev/internal/fleet/peers/wire"
 	"jacinthladder.dev/internal/plat/object"
 )
@@ -57,10 +58,25 @@
 	// response that this instance produces.
 	HandleClaim  func(n *wire.ClaimNote) *wire.ClaimAnswer
 	HandleFollow func(ctx context.Context, n *wire.FollowAsk) (*wire.FollowAnswer, error)
+	// HandleKeep, if set, remembers ledgers that a peer has written.
+	HandleKeep func(r ledger.Record)
 
 	onNewerConfig func(address string) // called with the address of a peer that has newer configuration
 }
 
+// Keep remembers the ledgers that a peer has written.
+func (s *Server) Keep(_ context.Context, n *wire.KeepNote) (*wire.KeepAnswer, error) {
+	if s.HandleKeep == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this instance keeps no ledgers")
+	}
+	r := ledger.Record{Shard: n.GetShard(), Era: n.GetEra()}
+	for _, b := range n.GetBooks() {
+		r.Ledgers = append(r.Ledgers, ledger.RecordedLedger{Budget: b.GetBudget(), Version: b.GetVersion(), Data: b.GetBook()})
+	}
+	s.HandleKeep(r)
+	return &wire.KeepAnswer{}, nil
+}
+
 // Handler returns the HTTP handler for the Twirp calls of peers.
 func (s *Server) Handler() http.Handler { return wire.NewPeersServer(s) }
 
--- a/internal/plat/object/instrument.go
+++ b/internal/plat/object/instrument.go
@@ -27,6 +27,7 @@
 			onCall("watch", kind, err)
 			return p, err
 		},
+		Era: s.Era,
 	}
 }
 
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -98,4 +98,9 @@
 	// 0 it returns immediately. On a platform with a bounded history, Watch may
 	// fail with ErrExpired, and it returns a Tombstone for each deleted object.
 	Watch func(ctx context.Context, kind string, after int64, wait time.Duration) (Page, error)
+	// Era returns the platform's era as its responses have shown it, and whether they have
+	// shown one. The era rises when the platform comes back from an older copy of its
+	// content, and is a part of every version (see VersionIn). If Era is nil, the platform
+	// loses nothing that it has acknowledged.
+	Era func() (era int64, stated bool)
 }
