--- a/internal/entry/send/send_test.go
+++ b/internal/entry/send/send_test.go
@@ -1,9 +1,7 @@
 package send
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,13 +10,14 @@
 	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/internal/entry/price"
+	"jacinthladder.dev/internal/stand/canned"
 )
 
 func TestStreamCutInsideItsLastEventIsBroken(t *testing.T) {
 	const first = "id: 0\ndata: {\"id\":\"run-1\",\"choices\":[]}\n\n"
 	const last = "id: 1\ndata: {\"id\":\"run-1\",\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":2}}\n\n"
 	for cut := range len(last) {
-		engine := newRawServer(t, "HTTP/1.1 200 OK\r\n\r\n"+first+last[:cut])
+		engine := "http://" + canned.Serve(t, "HTTP/1.1 200 OK\r\n\r\n"+first+last[:cut])
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, engine, nil)
 		if err != nil {
 			t.Fatal(err)
@@ -58,26 +57,3 @@
 		t.Errorf("Cancel returned usage %+v and error %v, want %+v and ErrBroken", usage, err, price.Usage{})
 	}
 }
-
-// newRawServer starts a server that sends the given bytes in reply to each request and
-// then closes the connection. It returns the server's URL.
-func newRawServer(t *testing.T, response string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-				fmt.Fprint(nc, response)
-			}
-			nc.Close()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
--- a/internal/fleet/peers/client_test.go
+++ b/internal/fleet/peers/client_test.go
@@ -1,11 +1,7 @@
 package peers
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -13,6 +9,7 @@
 
 	"jacinthladder.dev/coord/member"
 	"jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/stand/canned"
 )
 
 func TestReplyCutByItsConnectionIsNotTakenForAMarkOfZero(t *testing.T) {
@@ -47,27 +44,8 @@
 // given bytes as its response to the first request of each connection, and closes the
 // connection.
 func newTestClient(t *testing.T, response string) *Client {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			r, err := http.ReadRequest(bufio.NewReader(nc))
-			if err == nil {
-				io.Copy(io.Discard, r.Body)
-				fmt.Fprint(nc, response)
-			}
-			nc.Close()
-		}
-	}()
 	table := member.NewTable(member.Member{Process: "self/1"}, time.Second)
-	table.Merge(time.Now(), member.Member{Process: "witness/1", Address: l.Addr().String(), Heartbeat: 1})
+	table.Merge(time.Now(), member.Member{Process: "witness/1", Address: canned.Serve(t, response), Heartbeat: 1})
 	c := NewClient(table, nil)
 	t.Cleanup(c.Close)
 	return c
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -116,12 +116,11 @@
 		return refuse(NoResponse, "the request left and no whole answer came")
 	case x.Picker.Available(x.service.Name) == 0:
 		return refuse(NoCapacity, "no endpoint of the service is known").withRetryAfter(x.retryAfter())
-	case x.Picker.BusyFor(x.service.Name, time.Now()) > 0:
-		wait := x.Picker.BusyFor(x.service.Name, time.Now())
+	}
+	if wait := x.Picker.BusyFor(x.service.Name, time.Now()); wait > 0 {
 		return refuse(NoCapacity, "all endpoints of the service turn requests away").withRetryAfter(wait + rand.N(busySpread))
-	default:
-		return refuse(NoCapacity, "no endpoint took the request").withRetryAfter(x.retryAfter())
 	}
+	return refuse(NoCapacity, "no endpoint took the request").withRetryAfter(x.retryAfter())
 }
 
 // finalError returns the final error of the request after its last attempt, which
