forward/serve: make the test of unsolicited responses independent of timing

Traced: the script writes it after the first response in a second write and expects it to have arrived when the next request is sent; beside load it had not. Both requests have the same ID there, on purpose, so that only the check of the idle connection can reject it; callers never repeat an ID, and a response to another ID is discarded (the script has that case). No fault of the product.

--- a/internal/forward/conns/conns_test.go
+++ b/internal/forward/conns/conns_test.go
@@ -54,3 +54,43 @@
 		t.Error("Get returned the connection whose response body was not read to its end, want a new one")
 	}
 }
+
+func TestIdleConnectionWithUnsolicitedBytesIsNotReused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			accepted <- nc
+		}
+	}()
+	var p Pool
+	t.Cleanup(p.Close)
+	first, err := p.Get(t.Context(), l.Addr().String(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Put(first)
+	io.WriteString(<-accepted, "HTTP/1.1 200 OK\r\n\r\n")
+	for end := time.Now().Add(2 * time.Second); first.healthy(time.Now()); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the idle connection counts as healthy 2 s after it received bytes")
+		}
+	}
+	second, err := p.Get(t.Context(), l.Addr().String(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	if second.Reused() {
+		t.Error("Get returned the connection that received bytes while it was idle, want a new one")
+	}
+}
