coord/escrow: make the test cluster read its processes under its lock

Callers saw nothing: the fault is in the tests.

The read goes through an accessor that takes the lock now. The count of writes was read the same way while holders still write; it has an accessor too.

--- a/coord/escrow/cluster_test.go
+++ b/coord/escrow/cluster_test.go
@@ -150,6 +150,14 @@
 	}()
 }
 
+// proc returns the current process of instance i. Another goroutine may start a
+// new one at any time.
+func (c *cluster) proc(i int) *proc {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.procs[i]
+}
+
 func (c *cluster) addViolation(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -323,6 +331,14 @@
 	return nil
 }
 
+// writeCount returns the number of successful writes of the ledger so far.
+// Holders may write at any time, also when no request is open.
+func (c *cluster) writeCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
 // topUp pays amount into the ledger, as an operator does, and into the central
 // ledger.
 func (c *cluster) topUp(id string, amount int64) {
--- a/coord/escrow/home_test.go
+++ b/coord/escrow/home_test.go
@@ -55,8 +55,8 @@
 			t.Errorf("ledger has %d rows, want at most 2, one for the home of each zone; the share IDs are %v", rows, l.ShareIDs())
 		}
 		const maxWrites = 60 // in 10 s: a few per second for each of two homes
-		if c.writes > maxWrites {
-			t.Errorf("store got %d writes for %d requests in 10 s, want at most 60 writes", c.writes, requests)
+		if writes := c.writeCount(); writes > maxWrites {
+			t.Errorf("store got %d writes for %d requests in 10 s, want at most 60 writes", writes, requests)
 		}
 		checkSpent(t, c)
 	})
@@ -203,9 +203,9 @@
 // request for a crashed instance goes to the next one.
 func sendRequests(c *cluster, requests int) {
 	for n := range requests {
-		i := n % len(c.procs)
-		if c.isDead(c.procs[i]) {
-			i = (i + 1) % len(c.procs)
+		i := n % len(c.zones)
+		if c.isDead(c.proc(i)) {
+			i = (i + 1) % len(c.zones)
 		}
 		c.tasks.Go(func() { c.request(i, 900, 500, time.Second, 50*time.Millisecond) })
 		time.Sleep(10 * time.Millisecond)
@@ -215,8 +215,8 @@
 // homeOf returns the number of the instance that is the home of the budget in a
 // zone, -1 if there is none.
 func (c *cluster) homeOf(zone string) int {
-	for i, p := range c.procs {
-		if p.zone == zone && !c.isDead(p) && p.holder.Draws(testBudget) {
+	for i := range c.zones {
+		if p := c.proc(i); p.zone == zone && !c.isDead(p) && p.holder.Draws(testBudget) {
 			return i
 		}
 	}
--- a/coord/escrow/table_test.go
+++ b/coord/escrow/table_test.go
@@ -208,7 +208,7 @@
 	}
 	c.tasks.Wait()
 	cell = tableCell{
-		requested: c.requested, refused: c.refused, falseRefusals: c.falseRefusals, lostRefusals: c.lostRefusals, writes: c.writes,
+		requested: c.requested, refused: c.refused, falseRefusals: c.falseRefusals, lostRefusals: c.lostRefusals, writes: c.writeCount(),
 		overspent: max(c.actual.used-c.central.paid, 0), spent: c.actual.used, paid: c.central.paid,
 	}
 	closeErr := c.finish()
