stand/ports: claim the ports of tests until they end

Seen: TestKilledRouterLosesNoKeyedAnswer waited 15 s in vain for an instance in 1 of 36 runs, four at once beside a soak; TestForwardedHomeFailover failed once with 'address already in use' beside a second run of its package.

Cause: both choose a port, close it, and start a process there later. In between another test process can choose the same one. The process tests also chose from the range of outgoing connections, which a soak opens by the hundred. Four runs at once choose some 11 of 14,000 ports each, within about 0.2 s: by reckoning one collision in some 40 to 80 runs. For the run that failed this is inferred, as its output was not kept.

Claim keeps a listener at 127.0.0.2 with the same port until the test ends, so no test process chooses it twice, below the range of outgoing connections. The process tests print the output of an instance that ends or does not get ready.

TestPortsAreClaimedOnce: 2,000 claims by four at once.

--- a/cmd/jacinthladder/process_test.go
+++ b/cmd/jacinthladder/process_test.go
@@ -7,18 +7,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"jacinthladder.dev/internal/stand/engine"
+	"jacinthladder.dev/internal/stand/ports"
 	"jacinthladder.dev/internal/tools/admin"
 )
 
@@ -38,15 +39,33 @@
 // process is a child process of the test that runs the program.
 type process struct {
 	cmd  *exec.Cmd
-	out  *bytes.Buffer // standard output and standard error
-	done chan error    // receives the error with which the process ends, nil for exit code 0
+	out  *output    // standard output and standard error
+	done chan error // receives the error with which the process ends, nil for exit code 0
+}
+
+// output collects what a process writes. It can be read while the process runs.
+type output struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.String()
 }
 
 // startProcess starts the program with the command-line arguments args in a child
 // process. The process is killed when the test ends.
 func startProcess(t *testing.T, args ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(os.Args[0], args...), out: &bytes.Buffer{}, done: make(chan error, 1)}
+	p := &process{cmd: exec.Command(os.Args[0], args...), out: &output{}, done: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), runMainVariable+"=1")
 	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
 	if err := p.cmd.Start(); err != nil {
@@ -94,17 +113,6 @@
 	return string(out), c.ProcessState.ExitCode()
 }
 
-// freeAddress returns a loopback address with a port on which no process listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // waitFor calls check every 20 ms until check returns true. After 15 s without success
 // it fails the test with a text that contains condition, the description of the
 // awaited condition.
@@ -142,7 +150,7 @@
 // instances. It returns when the instances are ready.
 func startCluster(t *testing.T, instances int) *cluster {
 	t.Helper()
-	c := &cluster{platformURL: "http://" + freeAddress(t), engineURL: "http://" + freeAddress(t)}
+	c := &cluster{platformURL: "http://" + ports.Claim(t), engineURL: "http://" + ports.Claim(t)}
 	startProcess(t, "standin", "platform", "--listen", strings.TrimPrefix(c.platformURL, "http://"))
 	startProcess(t, "standin", "engine", "--listen", strings.TrimPrefix(c.engineURL, "http://"), "--step", "20ms")
 	waitFor(t, "a response of the platform stand-in", func() bool { return respondsOK(c.platformURL + "/v1/instances") })
@@ -151,12 +159,29 @@
 	for i := range instances {
 		c.startEntry(t, i)
 	}
-	for _, u := range c.adminURLs {
-		waitFor(t, "status 200 at /ready of an entry instance", func() bool { return respondsOK(u + "/ready") })
+	for i, p := range c.instances {
+		p.waitReady(t, c.adminURLs[i])
 	}
 	return c
 }
 
+// waitReady waits until the instance that the process runs is ready, according to its
+// admin pages. It fails the test, with the output of the process, if the process ends or
+// is not ready after 15 s.
+func (p *process) waitReady(t *testing.T, adminURL string) {
+	t.Helper()
+	for deadline := time.Now().Add(15 * time.Second); !respondsOK(adminURL + "/ready"); time.Sleep(20 * time.Millisecond) {
+		select {
+		case err := <-p.done:
+			t.Fatalf("an instance ended with error %v before it was ready; output:\n%s", err, p.out)
+		default:
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("an instance was not ready 15 s after its start; output:\n%s", p.out)
+		}
+	}
+}
+
 // configure creates a client account, a budget and a model service on the platform with
 // the operators' commands.
 func (c *cluster) configure(t *testing.T) {
@@ -188,7 +213,7 @@
 // instance to the platform's instance list and starts it.
 func (c *cluster) startEntry(t *testing.T, i int) {
 	t.Helper()
-	listen, peer, admin := freeAddress(t), freeAddress(t), freeAddress(t)
+	listen, peer, admin := ports.Claim(t), ports.Claim(t), ports.Claim(t)
 	zone := string(rune('a' + i))
 	settings := fmt.Sprintf(`{"name": "entry-%d", "zone": %q, "listen": %q, "peer": %q, "admin": %q, "platform": %q,
 		"lead": "100ms", "beat": "100ms", "file": "100ms"}`, i, zone, listen, peer, admin, c.platformURL)
