fleet/ledger: record at a peer only the ledgers that a write has changed

A batch also holds changes whose edit found nothing to write. Their ledgers were sent to the peer as well; it had them already. The change notes whether its last edit changed the ledger.

--- a/internal/fleet/ledger/recovery.go
+++ b/internal/fleet/ledger/recovery.go
@@ -46,10 +46,10 @@
 	era   int64                // the last era in which the known ledgers were complete
 	known map[string]entryJSON // highest versions seen, by budget, other than in the cached content
 
-	pending   int64     // era for which the shard is being completed, 0 if none
-	since     time.Time // when this instance learned of that era
-	delay     time.Duration
-	wroteBack bool // this instance has written back what it knows
+	pending   int64         // era for which the shard is being completed, 0 if none
+	since     time.Time     // when this instance learned of that era
+	delay     time.Duration // time from since until this instance notes the era
+	wroteBack bool          // this instance has written back what it knows
 }
 
 // note keeps the ledgers of the cached content if the content now, which replaces it, does
@@ -284,7 +284,7 @@
 	}
 	r := Record{Shard: s.name, Era: content.Era}
 	for _, c := range changes {
-		if e := content.Ledgers[c.budget]; c.err == nil && e.Version > 0 {
+		if e := content.Ledgers[c.budget]; c.edited {
 			r.Ledgers = append(r.Ledgers, RecordedLedger{Budget: c.budget, Version: e.Version, Data: e.Ledger})
 		}
 	}
--- a/internal/fleet/ledger/shards.go
+++ b/internal/fleet/ledger/shards.go
@@ -178,6 +178,7 @@
 type change struct {
 	budget string
 	edit   func(version int64, l *escrow.Ledger) (bool, error)
+	edited bool  // the last run of edit has changed the ledger
 	err    error // why the change was not written, nil if it succeeded; set before its batch is done
 }
 
@@ -185,6 +186,7 @@
 // it has changed the content. It stores the error of the edit in c.err, nil if there is
 // none. After an error it leaves the content as it is.
 func (c *change) apply(content shardJSON) bool {
+	c.edited = false
 	e := content.Ledgers[c.budget]
 	l := &escrow.Ledger{}
 	if e.Version > 0 {
@@ -202,6 +204,7 @@
 		return false
 	}
 	content.Ledgers[c.budget] = entryJSON{Version: e.Version + 1, Ledger: data}
+	c.edited = true
 	return true
 }
 
