coord/escrow: report what a killed process held when it is written off

An on-call engineer could not see what a kill had cost an account: the row of the killed process went without a word. The holder reports each written-off row, with the amount that it held and the part reported as used; the instance logs it and counts the difference in jacinthladder_budget_stranded_tokens_total.

--- a/coord/escrow/cluster_test.go
+++ b/coord/escrow/cluster_test.go
@@ -48,6 +48,7 @@
 	falseRefusals int // refused requests for which the rest of the budget would have sufficed; see countRefusal
 	lostRefusals  int // refused requests that the central ledger admitted
 	violations    []error
+	writtenOff    []WriteOff // as reported to Holder.WrittenOff
 	tasks         sync.WaitGroup
 }
 
@@ -136,6 +137,7 @@
 	p := &proc{cluster: c, name: name, zone: c.zones[i], running: make(chan struct{}), ended: make(chan struct{})}
 	close(p.running)
 	p.holder = NewHolder(name, p.store(), p.peers(), c.addViolation)
+	p.holder.WrittenOff = c.addWriteOff
 	if c.zoned {
 		p.holder.Configure(map[string]Policy{testBudget: c.policy})
 	}
@@ -164,6 +166,12 @@
 	c.violations = append(c.violations, err)
 }
 
+func (c *cluster) addWriteOff(_ string, w WriteOff) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writtenOff = append(c.writtenOff, w)
+}
+
 // crash ends the current process of instance i without closing its holder, so
 // its shares are not returned to the ledger.
 func (c *cluster) crash(i int) {
--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -210,6 +210,30 @@
 	}
 }
 
+// TestWriteOffIsReportedOnce crashes a process and starts its instance again. The
+// next process of the instance must report once what the crashed one held.
+func TestWriteOffIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, testZones, Policy{OutageTolerance: time.Minute})
+		c.topUp("start", 100_000)
+		c.request(0, 100, 60, time.Second, time.Millisecond)
+		share := c.proc(0).name + "/1"
+		l, _ := c.read()
+		held := l.Row(share).outstanding()
+		c.crash(0)
+		c.startProc(0)
+		for range 3 {
+			c.request(0, 100, 60, time.Second, time.Millisecond)
+		}
+		if err := c.finish(); err != nil {
+			t.Error(err)
+		}
+		if len(c.writtenOff) != 1 || c.writtenOff[0].Share != share || c.writtenOff[0].Outstanding != held {
+			t.Errorf("reported write-offs are %+v, want one of the share %s with the %d that it held", c.writtenOff, share, held)
+		}
+	})
+}
+
 // A reservation of more than is available, or of a negative amount, is refused,
 // and a settlement spends at most the reserved amount.
 func TestReserveRefusesMoreThanAvailable(t *testing.T) {
--- a/coord/escrow/holder.go
+++ b/coord/escrow/holder.go
@@ -39,6 +39,9 @@
 	// reason for the denial and the counters of this process's share. Set it
 	// before Run.
 	RequestDenied func(req TransferRequest, err error, s Stats)
+	// WrittenOff, if set, is called when this process has removed the row of an
+	// earlier process of its instance from the ledger of a budget. Set it before Run.
+	WrittenOff func(budget string, w WriteOff)
 
 	// RefillInterval returns the least time between two rounds of refills ahead of
 	// need. A round refills together the shares that are low and those that soon
--- a/coord/escrow/ledger.go
+++ b/coord/escrow/ledger.go
@@ -360,15 +360,26 @@
 // writeOffPredecessors writes off the open rows that earlier processes of the
 // same instance left, since the amounts that those processes spent are unknown.
 // Rows with witnesses stay, to be reclaimed. process is the ID of the
-// instance's current process.
-func (l *Ledger) writeOffPredecessors(process string) {
+// instance's current process. It returns what was written off.
+func (l *Ledger) writeOffPredecessors(process string) []WriteOff {
+	var ended []WriteOff
 	for id, r := range l.rows {
 		owner := ProcessOf(id)
 		if r.fields.State != Open || owner == process || instanceOf(owner) != instanceOf(process) || len(r.fields.Witnesses) > 0 {
 			continue
 		}
+		ended = append(ended, WriteOff{Share: id, Outstanding: r.outstanding(), Used: r.fields.Used})
 		l.writeOff(id)
 	}
+	return ended
+}
+
+// WriteOff tells about the share of a crashed process whose row was removed from
+// the ledger of its budget. Amounts are in micro-units.
+type WriteOff struct {
+	Share       string // share ID
+	Outstanding int64  // drawn and not returned, counted as spent from now on
+	Used        int64  // part of Outstanding that the process had reported as used
 }
 
 // writeOff removes the row of a holder that will not write again, and counts
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -105,12 +105,13 @@
 	if s.isEnded(l) {
 		return nil
 	}
+	var ended []WriteOff
 	if m == refillRow {
 		if s.isSealed() {
 			h.retire(s)
 			return ErrSealed
 		}
-		l.writeOffPredecessors(h.process)
+		ended = l.writeOffPredecessors(h.process)
 		h.reclaim(ctx, l, need)
 		s.updateShortfall(l.Free(), h.unreachableIdle(l))
 		h.assignWitnesses(ctx, s)
@@ -127,9 +128,21 @@
 		return err
 	}
 	s.applyLedger(l, startedAt)
+	h.reportWriteOffs(s.budget, ended)
 	return nil
 }
 
+// reportWriteOffs reports shares of earlier processes of this instance whose rows
+// were removed from the ledger of a budget.
+func (h *Holder) reportWriteOffs(budget string, ended []WriteOff) {
+	if h.WrittenOff == nil {
+		return
+	}
+	for _, w := range ended {
+		h.WrittenOff(budget, w)
+	}
+}
+
 // isLive reports whether the holder of the share id counts when the unspent
 // budget is divided among the holders. This process and the peers that are not
 // silent do.
@@ -142,6 +155,7 @@
 // edit of the share's row that the store applies to the current ledger.
 func (h *Holder) updateInStore(ctx context.Context, s *Share, need int64, m mode, startedAt time.Time) error {
 	var written *Ledger
+	var ended []WriteOff
 	err := h.store.Update(ctx, s.budget, func(l *Ledger) (bool, error) {
 		written = nil
 		s.applyLedger(l, startedAt)
@@ -153,7 +167,7 @@
 				h.retire(s)
 				return false, ErrSealed
 			}
-			l.writeOffPredecessors(h.process)
+			ended = l.writeOffPredecessors(h.process)
 			s.updateShortfall(l.Free(), h.unreachableIdle(l))
 		}
 		if !s.editRow(l, need, m, h.isLive) {
@@ -169,6 +183,7 @@
 	})
 	if err == nil && written != nil {
 		s.applyLedger(written, startedAt)
+		h.reportWriteOffs(s.budget, ended)
 	}
 	return err
 }
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -199,8 +199,8 @@
 // NewHolder returns an escrow holder, which manages this process's shares of budgets. It
 // has no shares at first. The ledgers of the budgets are stored in shards. Budgets in the
 // same shard have the same home, the instance that draws from their ledgers for the whole
-// zone. The holder logs a home that does not respond, and each transfer request that it
-// denies to a peer. A violation of an escrow invariant is counted and logged.
+// zone. The holder logs a home that does not respond, each transfer request that it
+// denies to a peer, and what a killed process of this instance held. A violation of an escrow invariant is counted and logged.
 func NewHolder(id node.ProcessID, shards *ledger.Shards, t *member.Table, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
 	calls := c.Escrow()
 	calls.HomeKey = shards.ShardName
@@ -219,6 +219,13 @@
 			"idle": stats.Idle(), "reserved": stats.Reserved(), "free": free, "age": age.Milliseconds(),
 		}).Info("budget: denied a peer")
 	}
+	stranded := set.GetOrCreateCounter("jacinthladder_budget_stranded_tokens_total")
+	h.WrittenOff = func(budget string, w escrow.WriteOff) {
+		stranded.AddInt64(w.Outstanding - w.Used)
+		logger.WithFields(log.Fields{
+			"account": budget, "share": w.Share, "held": w.Outstanding, "used": w.Used,
+		}).Warn("budget: counted what a killed process held as spent")
+	}
 	h.RefillInterval = func() time.Duration { return refillInterval(t.Counts()) }
 	return h
 }
