forward/prepay: hold at most 3 % of an idle budget in all shares together

Callers saw 402 after a kill of all instances, though their account had paid for more: what each share holds is lost with its process. Cause, one part of it: each instance that draws a budget held at least 1 % of it, also without any demand, so 5 % with five instances and 15 % in 15 zones. Ruled out: the demand of these accounts, as they had none.

The least target is divided by the number of instances that draw now, at most 1 %.

--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -272,16 +272,9 @@
 
 // refillInterval returns the interval between an instance's rounds of refills, with random
 // jitter of up to an eighth of the interval, up or down. The interval grows with the number
-// of instances that draw a budget from its ledger. In a zone with fewer than
-// escrow.MinZoneMembers instances, each instance draws its own share, and the number is
-// that of all instances of the fleet. In a larger zone one instance draws for the whole
-// zone, and the number is that of the zones.
+// of instances that draw a budget from its ledger.
 func refillInterval(c member.Counts) time.Duration {
-	drawing := c.Others + 1
-	viaHome := c.SameZone >= escrow.MinZoneMembers
-	if viaHome {
-		drawing = c.Zones
-	}
+	drawing, viaHome := countDrawing(c)
 	d := min(minRefillInterval*time.Duration(max(drawing, smallFleet))/smallFleet, maxRefillInterval)
 	if viaHome {
 		d = max(d, minHomeRefillInterval)
@@ -289,6 +282,18 @@
 	return d - d/8 + rand.N(d/4) // jitter, so that instances started together do not refill at the same moments
 }
 
+// countDrawing returns the number of instances that draw a budget from its ledger, and
+// whether in this instance's zone one instance, the home of the budget, draws for the whole
+// zone. In a zone with fewer than escrow.MinZoneMembers instances, each instance draws its
+// own share, and the number is that of all instances of the fleet. In a larger zone the
+// number is that of the zones.
+func countDrawing(c member.Counts) (drawing int, viaHome bool) {
+	if c.SameZone >= escrow.MinZoneMembers {
+		return max(c.Zones, 1), true
+	}
+	return c.Others + 1, false
+}
+
 // writesPerShard determines the number of shards, the platform objects that hold the
 // ledgers: one shard for each writesPerShard writes per second that the platform accepts.
 // Concurrent writes of one shard by several instances conflict, so a platform for a
@@ -332,6 +337,10 @@
 func NewReserver(s *setup.Settings, h *escrow.Holder, shards *ledger.Shards, t *member.Table) *prepay.Reserver {
 	r := &prepay.Reserver{
 		Holder: h, EmptyTTL: func() time.Duration { return refillInterval(t.Counts()) },
+		Drawing: func() int {
+			drawing, _ := countDrawing(t.Counts())
+			return drawing
+		},
 		EnsurePaid: shards.EnsurePaid,
 	}
 	r.SetOutageTolerance(time.Duration(s.Forward().OutageTolerance))
--- a/internal/forward/prepay/reserver.go
+++ b/internal/forward/prepay/reserver.go
@@ -20,10 +20,14 @@
 )
 
 const (
-	// minTargetFraction is the least target of one instance's share of a budget, as
-	// a fraction of the account's prepaid total. It applies even before the instance
-	// knows the demand.
-	minTargetFraction = 0.01
+	// maxMinTarget is the largest value of the least target of one instance's share of
+	// a budget, as a fraction of the account's prepaid total. The least target applies
+	// even before the instance knows the demand.
+	maxMinTarget = 0.01
+	// minTargets bounds the least targets of all shares of a budget together, as a
+	// fraction of the account's prepaid total. It is what a budget without demand
+	// loses if all instances are killed.
+	minTargets = 0.03
 	// floorFraction is the fraction of an account's prepaid total below which an
 	// instance's share counts as almost empty.
 	floorFraction = 0.001
@@ -47,6 +51,9 @@
 	// EmptyTTL returns how long a reading of a ledger that shows no free tokens
 	// stays valid. Until then, the ledger is not read again for refills.
 	EmptyTTL func() time.Duration
+	// Drawing returns the number of instances that draw a budget from its ledger, at
+	// least 1.
+	Drawing func() int
 	// EnsurePaid raises the paid-in total of a budget to total, in tokens. It does
 	// nothing if the paid-in total is at least as high already.
 	EnsurePaid func(ctx context.Context, budget string, total int64) error
@@ -61,9 +68,10 @@
 // Policy returns the policy of this instance's share of an account's budget. The
 // least target and the floor are fractions of the account's prepaid total.
 func (r *Reserver) Policy(a *route.Account) escrow.Policy {
+	minTarget := min(maxMinTarget, minTargets/float64(r.Drawing()))
 	return escrow.Policy{
 		OutageTolerance: time.Duration(r.outageTolerance.Load()),
-		MinTarget:       int64(float64(a.Prepaid) * minTargetFraction),
+		MinTarget:       int64(float64(a.Prepaid) * minTarget),
 		Floor:           int64(float64(a.Prepaid) * floorFraction),
 		Fraction:        heldFraction,
 		EmptyTTL:        r.EmptyTTL(),
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -134,7 +134,7 @@
 		Read:  func(context.Context, string) (*escrow.Ledger, int64, error) { return f.ledger, 1, nil },
 		Write: func(_ context.Context, _ string, _ int64, l *escrow.Ledger) error { f.ledger = l; return nil },
 	}, escrow.Peers{}, func(err error) { t.Error(err) })
-	f.reserver = &prepay.Reserver{Holder: holder, EmptyTTL: func() time.Duration { return time.Second }}
+	f.reserver = &prepay.Reserver{Holder: holder, EmptyTTL: func() time.Duration { return time.Second }, Drawing: func() int { return 1 }}
 	retries := &retry.Window{Span: 10 * time.Second}
 	retries.SetLimit(0, 100)
 	f.retries = retries
