--- /dev/null
+++ b/coord/escrow/kill_test.go
@@ -0,0 +1,143 @@
+package escrow
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Demand and budget of TestKilledProcessesStrandLittle: the whole budget would last
+// killBudgetTime at the demand of the requests, and killSpent of it is spent already.
+const (
+	killRate       = 50_000 // micro-units per second that sendRequests uses
+	killBudgetTime = 10 * time.Minute
+	killPaid       = int64(killRate * killBudgetTime / time.Second)
+	killSpent      = killPaid * 70 / 100
+	maxStranded    = 0.03 // fraction of the budget
+)
+
+// killPolicy is a policy like that of a deployed fleet in which drawing processes draw
+// from the ledger.
+func killPolicy(drawing int) Policy {
+	return Policy{
+		OutageTolerance: 9 * time.Second, MinTarget: killPaid * 3 / 100 / int64(drawing),
+		Floor: killPaid / 1000, Fraction: 0.5, EmptyTTL: time.Second,
+	}
+}
+
+// newKillCluster returns a cluster of five instances that each draw from the ledger, or
+// of 27 in three zones with homes. Of its budget killSpent is spent.
+func newKillCluster(instances int) *cluster {
+	var c *cluster
+	if instances == len(testZones) {
+		c = newCluster(1, testZones, killPolicy(instances))
+	} else {
+		var zones []string
+		for i := range instances {
+			zones = append(zones, fmt.Sprint("zone-", i%3))
+		}
+		c = newCluster(1, zones, killPolicy(3))
+		c.zoned = true
+		for _, p := range c.procs {
+			p.holder.Configure(map[string]Policy{testBudget: c.policy})
+		}
+	}
+	c.topUp("start", killPaid)
+	l, version := c.read()
+	l.spent = killSpent
+	if err := c.write(version, l); err != nil {
+		panic(err)
+	}
+	c.actual.used, c.central.used = killSpent, killSpent
+	return c
+}
+
+// held returns what the processes of the given instances hold, which is stranded if
+// they are killed now.
+func (c *cluster) held(instances []int) int64 {
+	var sum int64
+	for _, i := range instances {
+		for _, s := range c.proc(i).holder.Shares() {
+			stats := s.Stats()
+			sum += stats.Idle() + stats.Reserved()
+		}
+	}
+	return sum
+}
+
+// instancesIn returns the numbers of the instances in a zone, of all for the empty zone.
+func (c *cluster) instancesIn(zone string) []int {
+	var found []int
+	for i, z := range c.zones {
+		if zone == "" || z == zone {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// TestKilledProcessesStrandLittle kills all processes, or all of a zone, near the end of
+// a budget. What they held must be at most maxStranded of the budget, nothing may be
+// overspent, and no request may be refused from 2 s after the return of the processes,
+// since the budget still has enough for all.
+func TestKilledProcessesStrandLittle(t *testing.T) {
+	for _, instances := range []int{len(testZones), 27} {
+		for _, play := range []struct {
+			name      string
+			storeAway bool // from 3 s before the kill until 1 s after the return
+			zone      bool // only one zone is killed, for good
+		}{
+			{name: "all"}, {name: "all while the store is away", storeAway: true}, {name: "one zone for good", zone: true},
+		} {
+			t.Run(fmt.Sprint(instances, " instances, ", play.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newKillCluster(instances)
+					sendRequests(c, 4_000) // 40 s
+					if play.storeAway {
+						c.setStoreDown(true)
+						sendRequests(c, 300)
+					}
+					victims := c.instancesIn("")
+					if play.zone {
+						victims = c.instancesIn(c.zones[0])
+					}
+					stranded := float64(c.held(victims)) / float64(killPaid)
+					for _, i := range victims {
+						c.crash(i)
+					}
+					time.Sleep(time.Second)
+					if !play.zone {
+						for _, i := range victims {
+							c.startProc(i)
+						}
+					}
+					sendRequests(c, 100)
+					c.setStoreDown(false)
+					sendRequests(c, 100)
+					c.tasks.Wait()
+					refused := c.refused
+					sendAndWait(c, 500)
+					t.Logf("stranded %.2f %% of the budget, overspent %d, %d requests refused before 2 s after the return, %d later", 100*stranded, max(c.actual.used-c.central.paid, 0), refused, c.refused-refused)
+					if stranded > maxStranded {
+						t.Errorf("the killed processes held %.2f %% of the budget, want at most %.0f %%", 100*stranded, 100*maxStranded)
+					}
+					if c.refused > refused {
+						t.Errorf("%d requests were refused from 2 s after the return on, want none", c.refused-refused)
+					}
+					if err := c.finish(); err != nil {
+						t.Error(err)
+					}
+					reportViolations(t, c)
+				})
+			})
+		}
+	}
+}
+
+// setStoreDown makes the store fail all calls, or serve them again.
+func (c *cluster) setStoreDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeDown = down
+}
