coord/escrow: record grants again that the ledger has lost

Cause, found by reading and then by the test: a holder that was cut off while the others wrote back their ledgers comes back to a row that shows less than it has drawn. The numbers of a row only rise, so the holder raises its row, as far as the ledger has the amount free.

TestGrantThatTheStoreLostIsRecordedAgain failed before.

--- a/coord/escrow/ledger.go
+++ b/coord/escrow/ledger.go
@@ -357,6 +357,19 @@
 	return grant
 }
 
+// restoreGrant raises the total that the row r has drawn to granted, which the ledger has
+// recorded before, as far as the ledger has it free. A row is lower if the store came back
+// from an older copy: what it then shows as free has been granted. It reports whether that
+// changed anything.
+func (l *Ledger) restoreGrant(r *Row, granted int64) bool {
+	lost := min(granted-r.fields.Granted, l.Free())
+	if lost <= 0 {
+		return false
+	}
+	r.fields.Granted += lost
+	return true
+}
+
 // writeOffPredecessors writes off the open rows that earlier processes of the
 // same instance left, since the amounts that those processes spent are unknown.
 // Rows with witnesses stay, to be reclaimed. process is the ID of the
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -274,6 +274,7 @@
 	c := &s.sync
 	r := l.rowFor(s.id)
 	stored := r.fields.Returned // total returned, as the ledger records it
+	restored := l.restoreGrant(r, s.granted)
 	var grant int64
 	switch m {
 	case refillRow:
@@ -300,7 +301,7 @@
 		s.returnFor(l.shortfalls(s.id))
 	}
 	shortfallSame := r.fields.Shortfall == c.shortfall || r.fields.Shortfall > 0 && c.shortfall > 0
-	if m == refillRow && grant == 0 && s.returned <= stored && shortfallSame && witnessesSame && !l.rowsEnded {
+	if m == refillRow && grant == 0 && s.returned <= stored && shortfallSame && witnessesSame && !l.rowsEnded && !restored {
 		return false
 	}
 	r.fields.Shortfall = c.shortfall
