stand/store: give out no version twice after a return from an older copy

A version that it gives out after a loss now includes the era, so that versions keep rising and clients need no change: a revoked key stays revoked, writes on lost versions conflict, and the operator's repetition is newer. The interface says so; the stand-in has Copy and Restore. Ledgers, claims and usage records on this store are not written again yet.

--- a/internal/fleet/config/cache_test.go
+++ b/internal/fleet/config/cache_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
 
+	"jacinthladder.dev/internal/plat/object"
 	"jacinthladder.dev/internal/stand/store"
 )
 
@@ -38,3 +40,41 @@
 		}
 	}
 }
+
+// TestKeyStaysRevokedWhenThePlatformLosesTheRevocation makes the platform return to a copy
+// in which a revoked key is still valid. The cache must keep the newer account, and apply
+// the operator's next change.
+func TestKeyStaysRevokedWhenThePlatformLosesTheRevocation(t *testing.T) {
+	p := store.New()
+	c := NewCache(p.Store(""), &log.Logger{Handler: discard.New()})
+	put := func(version int64, keys string) int64 {
+		version, err := p.Store("").Put(t.Context(), AccountKind, "field", version, []byte(`{"name": "field", "keys": [`+keys+`]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		return version
+	}
+	inForce := func() int64 {
+		objects, _ := c.Since(0)
+		return objects[0].Version()
+	}
+	first := put(0, `"a"`)
+	older := p.Copy()
+	revoked := put(first, ``)
+	p.Restore(older)
+	if err := c.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := inForce(); got != revoked {
+		t.Errorf("version %d of the account is in force after the platform lost version %d, want the lost one", got, revoked)
+	}
+	if _, err := p.Store("").Put(t.Context(), AccountKind, "field", revoked, nil); !errors.Is(err, object.ErrConflict) {
+		t.Errorf("write of an account whose lost version is expected: got error %v, want ErrConflict", err)
+	}
+	if repeated := put(first, `"b"`); repeated <= revoked || inForce() != repeated {
+		t.Errorf("the operator's change got version %d, and version %d is in force; want a version above the lost %d in force", repeated, inForce(), revoked)
+	}
+}
--- a/internal/plat/object/object.go
+++ b/internal/plat/object/object.go
@@ -56,7 +56,8 @@
 func (o Object) Name() string { return o.name }
 
 // Version returns the version at which the object was written or deleted. Later writes of
-// any object have higher versions.
+// any object have higher versions, also after the platform came back from an older copy of
+// its content (see VersionIn). So no version is given out twice.
 func (o Object) Version() int64 { return o.version }
 
 // Value returns the stored bytes, nil for a deleted object. The caller must not change
--- a/internal/stand/store/store.go
+++ b/internal/stand/store/store.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -39,7 +41,7 @@
 // instance list. Create one with New.
 type Platform struct {
 	mu      sync.Mutex
-	version int64 // version of the object written last; each write of an object raises it by one
+	version int64 // version of the object written last; each write of an object raises it by one, and each Restore to the next era
 	objects map[objectKey]object.Object
 	changed chan struct{} // closed at each write of an object, then replaced
 	faults  Faults
@@ -84,6 +86,30 @@
 	return p.counts
 }
 
+// Copy is the content of a platform at one moment.
+type Copy struct {
+	version int64
+	objects map[objectKey]object.Object
+}
+
+// Copy returns a copy of the platform's objects.
+func (p *Platform) Copy() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{version: p.version, objects: maps.Clone(p.objects)}
+}
+
+// Restore makes the platform return to a copy, in a new era: objects written since are
+// gone. No version is given out twice, since the era is a part of it (object.VersionIn).
+func (p *Platform) Restore(c Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version = object.VersionIn(object.EraOf(p.version)+1, object.RevisionOf(c.version))
+	p.objects = maps.Clone(c.objects)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // Store returns a client that calls the platform directly, without HTTP. If
 // Faults.OfflineZones contains zone, its calls fail with object.ErrUnknownOutcome. The
 // empty zone stands for a caller outside all zones.
@@ -201,7 +227,7 @@
 			p.counts.Bytes += int64(len(o.Value()))
 		}
 	}
-	slices.SortFunc(found, func(a, b object.Object) int { return int(a.Version() - b.Version()) })
+	slices.SortFunc(found, func(a, b object.Object) int { return cmp.Compare(a.Version(), b.Version()) })
 	return object.NewPage(found, p.version)
 }
 
