--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -199,8 +199,8 @@
 // NewHolder returns an escrow holder, which manages this process's shares of budgets. It
 // has no shares at first. The ledgers of the budgets are stored in shards. Budgets in the
 // same shard have the same home, the instance that draws from their ledgers for the whole
-// zone. The holder logs a home that does not respond, and each transfer request that it
-// denies to a peer. A violation of an escrow invariant is counted and logged.
+// zone. The holder logs a home that does not respond, each transfer request that it
+// denies to a peer, and what a killed process of this instance held. A violation of an escrow invariant is counted and logged.
 func NewHolder(id node.ProcessID, shards *ledger.Shards, t *member.Table, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
 	calls := c.Escrow()
 	calls.HomeKey = shards.ShardName
@@ -219,6 +219,13 @@
 			"idle": stats.Idle(), "reserved": stats.Reserved(), "free": free, "age": age.Milliseconds(),
 		}).Info("budget: denied a peer")
 	}
+	stranded := set.GetOrCreateCounter("jacinthladder_budget_stranded_tokens_total")
+	h.WrittenOff = func(budget string, w escrow.WriteOff) {
+		stranded.AddInt64(w.Outstanding - w.Used)
+		logger.WithFields(log.Fields{
+			"account": budget, "share": w.Share, "held": w.Outstanding, "used": w.Used,
+		}).Warn("budget: counted what a killed process held as spent")
+	}
 	h.RefillInterval = func() time.Duration { return refillInterval(t.Counts()) }
 	return h
 }
@@ -265,16 +272,9 @@
 
 // refillInterval returns the interval between an instance's rounds of refills, with random
 // jitter of up to an eighth of the interval, up or down. The interval grows with the number
-// of instances that draw a budget from its ledger. In a zone with fewer than
-// escrow.MinZoneMembers instances, each instance draws its own share, and the number is
-// that of all instances of the fleet. In a larger zone one instance draws for the whole
-// zone, and the number is that of the zones.
+// of instances that draw a budget from its ledger.
 func refillInterval(c member.Counts) time.Duration {
-	drawing := c.Others + 1
-	viaHome := c.SameZone >= escrow.MinZoneMembers
-	if viaHome {
-		drawing = c.Zones
-	}
+	drawing, viaHome := countDrawing(c)
 	d := min(minRefillInterval*time.Duration(max(drawing, smallFleet))/smallFleet, maxRefillInterval)
 	if viaHome {
 		d = max(d, minHomeRefillInterval)
@@ -282,6 +282,18 @@
 	return d - d/8 + rand.N(d/4) // jitter, so that instances started together do not refill at the same moments
 }
 
+// countDrawing returns the number of instances that draw a budget from its ledger, and
+// whether in this instance's zone one instance, the home of the budget, draws for the whole
+// zone. In a zone with fewer than escrow.MinZoneMembers instances, each instance draws its
+// own share, and the number is that of all instances of the fleet. In a larger zone the
+// number is that of the zones.
+func countDrawing(c member.Counts) (drawing int, viaHome bool) {
+	if c.SameZone >= escrow.MinZoneMembers {
+		return max(c.Zones, 1), true
+	}
+	return c.Others + 1, false
+}
+
 // writesPerShard determines the number of shards, the platform objects that hold the
 // ledgers: one shard for each writesPerShard writes per second that the platform accepts.
 // Concurrent writes of one shard by several instances conflict, so a platform for a
@@ -325,6 +337,10 @@
 func NewReserver(s *setup.Settings, h *escrow.Holder, shards *ledger.Shards, t *member.Table) *prepay.Reserver {
 	r := &prepay.Reserver{
 		Holder: h, EmptyTTL: func() time.Duration { return refillInterval(t.Counts()) },
+		Drawing: func() int {
+			drawing, _ := countDrawing(t.Counts())
+			return drawing
+		},
 		EnsurePaid: shards.EnsurePaid,
 	}
 	r.SetOutageTolerance(time.Duration(s.Forward().OutageTolerance))
