--- a/coord/escrow/home_test.go
+++ b/coord/escrow/home_test.go
@@ -21,13 +21,13 @@
 	for i := range 16 {
 		zones = append(zones, fmt.Sprint("zone-", i%2))
 	}
-	return newZonedCluster(seed, zones)
+	return newZonedCluster(seed, zones, zonedPolicy)
 }
 
 // newZonedCluster returns a cluster where in each zone one holder, the home of
 // the budget, draws from the ledger for the whole zone.
-func newZonedCluster(seed uint64, zones []string) *cluster {
-	c := newCluster(seed, zones, zonedPolicy)
+func newZonedCluster(seed uint64, zones []string, policy Policy) *cluster {
+	c := newCluster(seed, zones, policy)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.zoned = true
@@ -71,7 +71,7 @@
 		for i := range 40 {
 			zones = append(zones, fmt.Sprint("zone-", i%4))
 		}
-		c := newZonedCluster(4, zones)
+		c := newZonedCluster(4, zones, zonedPolicy)
 		c.topUp("t", 400_000)
 		sendAndWait(c, 200)
 		for range 800 {
--- a/coord/escrow/kill_test.go
+++ b/coord/escrow/kill_test.go
@@ -37,11 +37,7 @@
 		for i := range instances {
 			zones = append(zones, fmt.Sprint("zone-", i%3))
 		}
-		c = newCluster(1, zones, killPolicy(3))
-		c.zoned = true
-		for _, p := range c.procs {
-			p.holder.Configure(map[string]Policy{testBudget: c.policy})
-		}
+		c = newZonedCluster(1, zones, killPolicy(3))
 	}
 	c.topUp("start", killPaid)
 	l, version := c.read()
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -94,12 +94,7 @@
 	if registered := r.Register(ctx, a, ttl); registered.Process != a.Process {
 		return registered.Process == r.Process()
 	}
-	for _, resp := range r.callAll(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_TAKE, Attempt: toWire(a), To: r.Process()}) {
-		if !resp.GetOk() {
-			return false
-		}
-	}
-	return true
+	return r.firstRefusal(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_TAKE, Attempt: toWire(a), To: r.Process()}) == nil
 }
 
 // End marks an attempt as ended at the owners of its key. It reports whether this process
@@ -107,12 +102,22 @@
 // process at the key, which End returns: that process has taken the attempt over, or made
 // an attempt of its own.
 func (r *Registry) End(ctx context.Context, a dedup.Attempt) (dedup.Attempt, bool) {
-	for _, resp := range r.callAll(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_END, Attempt: toWire(a)}) {
+	refusal := r.firstRefusal(ctx, a.Key, &wire.ClaimNote{Op: wire.Op_END, Attempt: toWire(a)})
+	if refusal != nil {
+		return fromWire(refusal.GetFirst()), false
+	}
+	return dedup.Attempt{}, true
+}
+
+// firstRefusal sends the operation n to every owner of a key and returns a response that
+// refuses it, nil if none does.
+func (r *Registry) firstRefusal(ctx context.Context, key string, n *wire.ClaimNote) *wire.ClaimAnswer {
+	for _, resp := range r.callAll(ctx, key, n) {
 		if !resp.GetOk() {
-			return fromWire(resp.GetFirst()), false
+			return resp
 		}
 	}
-	return dedup.Attempt{}, true
+	return nil
 }
 
 // callAll sends the operation n to every owner of a key, concurrently, and returns the
