--- a/coord/escrow/escrow_test.go
+++ b/coord/escrow/escrow_test.go
@@ -219,7 +219,7 @@
 		c.request(0, 100, 60, time.Second, time.Millisecond)
 		share := c.proc(0).name + "/1"
 		l, _ := c.read()
-		held := l.Row(share).outstanding()
+		held, idle := l.Row(share).outstanding(), l.Row(share).Idle()
 		c.crash(0)
 		c.startProc(0)
 		for range 3 {
@@ -228,8 +228,8 @@
 		if err := c.finish(); err != nil {
 			t.Error(err)
 		}
-		if len(c.writtenOff) != 1 || c.writtenOff[0].Share != share || c.writtenOff[0].Outstanding != held {
-			t.Errorf("reported write-offs are %+v, want one of the share %s with the %d that it held", c.writtenOff, share, held)
+		if len(c.writtenOff) != 1 || c.writtenOff[0].Share != share || c.writtenOff[0].Outstanding != held || c.writtenOff[0].Idle != idle {
+			t.Errorf("reported write-offs are %+v, want one of the share %s with %d outstanding and %d idle", c.writtenOff, share, held, idle)
 		}
 	})
 }
--- a/coord/escrow/ledger.go
+++ b/coord/escrow/ledger.go
@@ -381,7 +381,7 @@
 		if r.fields.State != Open || owner == process || instanceOf(owner) != instanceOf(process) || len(r.fields.Witnesses) > 0 {
 			continue
 		}
-		ended = append(ended, WriteOff{Share: id, Outstanding: r.outstanding(), Used: r.fields.Used})
+		ended = append(ended, WriteOff{Share: id, Outstanding: r.outstanding(), Idle: max(r.Idle(), 0)})
 		l.writeOff(id)
 	}
 	return ended
@@ -392,7 +392,7 @@
 type WriteOff struct {
 	Share       string // share ID
 	Outstanding int64  // drawn and not returned, counted as spent from now on
-	Used        int64  // part of Outstanding that the process had reported as used
+	Idle        int64  // unspent when the process last wrote the row, at least 0; see Row.Idle
 }
 
 // writeOff removes the row of a holder that will not write again, and counts
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -221,9 +221,9 @@
 	}
 	stranded := set.GetOrCreateCounter("jacinthladder_budget_stranded_tokens_total")
 	h.WrittenOff = func(budget string, w escrow.WriteOff) {
-		stranded.AddInt64(w.Outstanding - w.Used)
+		stranded.AddInt64(w.Idle)
 		logger.WithFields(log.Fields{
-			"account": budget, "share": w.Share, "held": w.Outstanding, "used": w.Used,
+			"account": budget, "share": w.Share, "held": w.Outstanding, "idle": w.Idle,
 		}).Warn("budget: counted what a killed process held as spent")
 	}
 	h.RefillInterval = func() time.Duration { return refillInterval(t.Counts()) }
