coord/escrow: hold less for some time after a kill

Cause: each kill strands 9 s of demand, also one that follows another by seconds; an instance that crashes again and again can use up a budget that way. Ruled out: refusals by mistake, as the ledgers had nothing free.

An instance that writes off a killed predecessor's row aims for 3 s of demand for 30 s.

--- a/coord/escrow/deps.go
+++ b/coord/escrow/deps.go
@@ -89,6 +89,11 @@
 	// demand: a share at its target lasts that long without a refill, at the
 	// current demand.
 	OutageTolerance time.Duration
+	// ToleranceAfterKill replaces OutageTolerance, if it is shorter, for killMemory
+	// after an earlier process of the instance was found to have been killed. It
+	// bounds what a process that is killed again and again loses. With 0 the outage
+	// tolerance stays.
+	ToleranceAfterKill time.Duration
 	// Unwitnessed is the amount, in micro-units, that a holder may spend beyond
 	// the share's mark that its witnesses have acknowledged. With 0 the share
 	// needs no witnesses, and peers can't reclaim it if its process crashes.
@@ -162,6 +167,8 @@
 	// floorRequests is the default of Policy.Floor, in multiples of the largest
 	// amount that a reservation has asked the share for so far.
 	floorRequests = 16
+	// killMemory is how long Policy.ToleranceAfterKill applies.
+	killMemory = 30 * time.Second
 	// markRequests sets, together with markHorizon, how far a share's mark is
 	// raised ahead of its outflow: by the larger of markRequests times the largest
 	// amount asked for so far and the use in markHorizon at the average rate of
--- a/coord/escrow/kill_test.go
+++ b/coord/escrow/kill_test.go
@@ -131,6 +131,37 @@
 	}
 }
 
+// TestKillsInSeriesStrandLess kills all processes twice. The second kill must strand less
+// than half of the first one. Later, without a further kill, the shares must last for the
+// whole outage tolerance again.
+func TestKillsInSeriesStrandLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		policy := killPolicy(len(testZones))
+		policy.MinTarget, policy.ToleranceAfterKill = 1, 3*time.Second
+		c := newCluster(1, testZones, policy)
+		c.topUp("start", killPaid)
+		all := c.instancesIn("")
+		sendRequests(c, 3_000)
+		first := c.held(all)
+		for _, i := range all {
+			c.crash(i)
+			c.startProc(i)
+		}
+		sendRequests(c, 1_000)
+		if second := c.held(all); second > first/2 {
+			t.Errorf("a second kill 10 s after the first would strand %d, want at most half of the %d of the first", second, first)
+		}
+		sendRequests(c, 4_000)
+		if later := c.held(all); later < first*3/4 {
+			t.Errorf("50 s after a kill the shares hold %d, want at least three quarters of the %d before it", later, first)
+		}
+		if err := c.finish(); err != nil {
+			t.Error(err)
+		}
+		reportViolations(t, c)
+	})
+}
+
 // setStoreDown makes the store fail all calls, or serve them again.
 func (c *cluster) setStoreDown(down bool) {
 	c.mu.Lock()
--- a/coord/escrow/sync.go
+++ b/coord/escrow/sync.go
@@ -128,18 +128,22 @@
 		return err
 	}
 	s.applyLedger(l, startedAt)
-	h.reportWriteOffs(s.budget, ended)
+	h.noteWriteOffs(s, ended)
 	return nil
 }
 
-// reportWriteOffs reports shares of earlier processes of this instance whose rows
-// were removed from the ledger of a budget.
-func (h *Holder) reportWriteOffs(budget string, ended []WriteOff) {
+// noteWriteOffs records in the share, and reports, that rows of earlier processes of
+// this instance were removed from the ledger of its budget.
+func (h *Holder) noteWriteOffs(s *Share, ended []WriteOff) {
+	if len(ended) == 0 {
+		return
+	}
+	s.noteKill(time.Now())
 	if h.WrittenOff == nil {
 		return
 	}
 	for _, w := range ended {
-		h.WrittenOff(budget, w)
+		h.WrittenOff(s.budget, w)
 	}
 }
 
@@ -183,7 +187,7 @@
 	})
 	if err == nil && written != nil {
 		s.applyLedger(written, startedAt)
-		h.reportWriteOffs(s.budget, ended)
+		h.noteWriteOffs(s, ended)
 	}
 	return err
 }
--- a/coord/escrow/syncstate.go
+++ b/coord/escrow/syncstate.go
@@ -24,6 +24,7 @@
 	demand             int64     // total micro-units of the reservations that wait for the share to get more
 	shortfall          int64     // micro-units that the share lacks and only unreachable peers have; 0 if there are none
 	shortfallCheckedAt time.Time // when the ledger was last read for the shortfalls of other shares
+	killSeenAt         time.Time // when an earlier process of this instance was found to have been killed
 	noRefillUntil      time.Time // no refill ahead of need is tried before this time
 
 	holders []string // process IDs of the holders of the other open rows, the holder with the largest idle amount first
@@ -68,7 +69,7 @@
 	if s.sync.viaHome {
 		return int64(min(max(s.meter.fast, 0)*viaHomeHorizon.Seconds(), MaxPaid))
 	}
-	demand := s.meter.demand() * s.sync.policy.OutageTolerance.Seconds()
+	demand := s.meter.demand() * s.outageTolerance(time.Now()).Seconds()
 	minTarget := s.sync.policy.MinTarget
 	if minTarget == 0 {
 		minTarget = minTargetRequests * min(s.largest, MaxPaid/minTargetRequests)
@@ -76,6 +77,23 @@
 	return max(int64(min(demand, MaxPaid)), minTarget)
 }
 
+// outageTolerance returns the time for which the target of the share covers its demand.
+// The caller holds the lock.
+func (s *Share) outageTolerance(now time.Time) time.Duration {
+	p := s.sync.policy
+	if p.ToleranceAfterKill > 0 && !s.sync.killSeenAt.IsZero() && now.Sub(s.sync.killSeenAt) < killMemory {
+		return min(p.OutageTolerance, p.ToleranceAfterKill)
+	}
+	return p.OutageTolerance
+}
+
+// noteKill records that an earlier process of this instance was killed.
+func (s *Share) noteKill(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync.killSeenAt = now
+}
+
 // currentPolicy returns a copy of the policy of the share.
 func (s *Share) currentPolicy() Policy {
 	s.mu.Lock()
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -200,7 +200,8 @@
 // has no shares at first. The ledgers of the budgets are stored in shards. Budgets in the
 // same shard have the same home, the instance that draws from their ledgers for the whole
 // zone. The holder logs a home that does not respond, each transfer request that it
-// denies to a peer, and what a killed process of this instance held. A violation of an escrow invariant is counted and logged.
+// denies to a peer, and what a killed process of this instance held. A violation of an
+// escrow invariant is counted and logged.
 func NewHolder(id node.ProcessID, shards *ledger.Shards, t *member.Table, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
 	calls := c.Escrow()
 	calls.HomeKey = shards.ShardName
--- a/internal/forward/prepay/reserver.go
+++ b/internal/forward/prepay/reserver.go
@@ -31,6 +31,9 @@
 	// floorFraction is the fraction of an account's prepaid total below which an
 	// instance's share counts as almost empty.
 	floorFraction = 0.001
+	// toleranceAfterKill is the time that shares should last without the platform
+	// after a process of this instance was killed.
+	toleranceAfterKill = 3 * time.Second
 	// maxReadAge is the largest age of the last reading of a budget's ledger at
 	// which Reserve returns ErrExhausted. With an older reading it returns
 	// ErrUnreachable.
@@ -70,11 +73,12 @@
 func (r *Reserver) Policy(a *route.Account) escrow.Policy {
 	minTarget := min(maxMinTarget, minTargets/float64(r.Drawing()))
 	return escrow.Policy{
-		OutageTolerance: time.Duration(r.outageTolerance.Load()),
-		MinTarget:       int64(float64(a.Prepaid) * minTarget),
-		Floor:           int64(float64(a.Prepaid) * floorFraction),
-		Fraction:        heldFraction,
-		EmptyTTL:        r.EmptyTTL(),
+		OutageTolerance:    time.Duration(r.outageTolerance.Load()),
+		ToleranceAfterKill: toleranceAfterKill,
+		MinTarget:          int64(float64(a.Prepaid) * minTarget),
+		Floor:              int64(float64(a.Prepaid) * floorFraction),
+		Fraction:           heldFraction,
+		EmptyTTL:           r.EmptyTTL(),
 	}
 }
 
