--- a/coord/escrow/kill_test.go
+++ b/coord/escrow/kill_test.go
@@ -17,8 +17,8 @@
 	maxStranded    = 0.03 // fraction of the budget
 )
 
-// killPolicy is a policy like that of a deployed fleet in which drawing processes draw
-// from the ledger.
+// killPolicy is a policy like that of a deployed fleet in which the given number of
+// processes draw from the ledger.
 func killPolicy(drawing int) Policy {
 	return Policy{
 		OutageTolerance: 9 * time.Second, MinTarget: killPaid * 3 / 100 / int64(drawing),
@@ -73,64 +73,73 @@
 	return found
 }
 
+// killPlay says which processes are killed.
+type killPlay struct {
+	name      string
+	storeAway bool // the store is away from 3 s before the kill until 1 s after the return
+	oneZone   bool // one zone is killed, for good; otherwise all zones are, and return after 1 s
+}
+
+var killPlays = []killPlay{
+	{name: "all"},
+	{name: "all while the store is away", storeAway: true},
+	{name: "one zone for good", oneZone: true},
+}
+
 // TestKilledProcessesStrandLittle kills all processes, or all of a zone, near the end of
 // a budget. What they held must be at most maxStranded of the budget, nothing may be
 // overspent, and no request may be refused from 2 s after the return of the processes,
 // since the budget still has enough for all.
 func TestKilledProcessesStrandLittle(t *testing.T) {
 	for _, instances := range []int{len(testZones), 27} {
-		for _, play := range []struct {
-			name      string
-			storeAway bool // from 3 s before the kill until 1 s after the return
-			zone      bool // only one zone is killed, for good
-		}{
-			{name: "all"}, {name: "all while the store is away", storeAway: true}, {name: "one zone for good", zone: true},
-		} {
+		for _, play := range killPlays {
 			t.Run(fmt.Sprint(instances, " instances, ", play.name), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					c := newKillCluster(instances)
-					sendRequests(c, 4_000) // 40 s
-					if play.storeAway {
-						c.setStoreDown(true)
-						sendRequests(c, 300)
-					}
-					victims := c.instancesIn("")
-					if play.zone {
-						victims = c.instancesIn(c.zones[0])
-					}
-					stranded := float64(c.held(victims)) / float64(killPaid)
-					for _, i := range victims {
-						c.crash(i)
-					}
-					time.Sleep(time.Second)
-					if !play.zone {
-						for _, i := range victims {
-							c.startProc(i)
-						}
-					}
-					sendRequests(c, 100)
-					c.setStoreDown(false)
-					sendRequests(c, 100)
-					c.tasks.Wait()
-					refused := c.refused
-					sendAndWait(c, 500)
-					t.Logf("stranded %.2f %% of the budget, overspent %d, %d requests refused before 2 s after the return, %d later", 100*stranded, max(c.actual.used-c.central.paid, 0), refused, c.refused-refused)
-					if stranded > maxStranded {
-						t.Errorf("the killed processes held %.2f %% of the budget, want at most %.0f %%", 100*stranded, 100*maxStranded)
-					}
-					if c.refused > refused {
-						t.Errorf("%d requests were refused from 2 s after the return on, want none", c.refused-refused)
-					}
-					if err := c.finish(); err != nil {
-						t.Error(err)
-					}
-					reportViolations(t, c)
-				})
+				synctest.Test(t, func(t *testing.T) { play.run(t, newKillCluster(instances)) })
 			})
 		}
 	}
 }
 
+// run plays p on c and checks the result.
+func (p killPlay) run(t *testing.T, c *cluster) {
+	sendRequests(c, 4_000) // 40 s
+	if p.storeAway {
+		c.setStoreDown(true)
+		sendRequests(c, 300)
+	}
+	victims := c.instancesIn("")
+	if p.oneZone {
+		victims = c.instancesIn(c.zones[0])
+	}
+	stranded := float64(c.held(victims)) / float64(killPaid)
+	for _, i := range victims {
+		c.crash(i)
+	}
+	time.Sleep(time.Second)
+	if !p.oneZone {
+		for _, i := range victims {
+			c.startProc(i)
+		}
+	}
+	sendRequests(c, 100)
+	c.setStoreDown(false)
+	sendRequests(c, 100)
+	c.tasks.Wait()
+	refused := c.refused
+	sendAndWait(c, 500)
+	t.Logf("stranded %.2f %% of the budget, overspent %d, %d requests refused before 2 s after the return, %d later", 100*stranded, max(c.actual.used-c.central.paid, 0), refused, c.refused-refused)
+	if stranded > maxStranded {
+		t.Errorf("the killed processes held %.2f %% of the budget, want at most %.0f %%", 100*stranded, 100*maxStranded)
+	}
+	if c.refused > refused {
+		t.Errorf("%d requests were refused from 2 s after the return on, want none", c.refused-refused)
+	}
+	if err := c.finish(); err != nil {
+		t.Error(err)
+	}
+	reportViolations(t, c)
+}
+
 // TestKillsInSeriesStrandLess kills all processes twice. The second kill must strand less
 // than half of the first one. Later, without a further kill, the shares must last for the
 // whole outage tolerance again.
