--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -200,7 +200,8 @@
 // has no shares at first. The ledgers of the budgets are stored in shards. Budgets in the
 // same shard have the same home, the instance that draws from their ledgers for the whole
 // zone. The holder logs a home that does not respond, each transfer request that it
-// denies to a peer, and what a killed process of this instance held. A violation of an escrow invariant is counted and logged.
+// denies to a peer, and what a killed process of this instance held. A violation of an
+// escrow invariant is counted and logged.
 func NewHolder(id node.ProcessID, shards *ledger.Shards, t *member.Table, c *peers.Client, set *metrics.Set, logger log.Interface) *escrow.Holder {
 	calls := c.Escrow()
 	calls.HomeKey = shards.ShardName
@@ -221,9 +222,9 @@
 	}
 	stranded := set.GetOrCreateCounter("jacinthladder_budget_stranded_tokens_total")
 	h.WrittenOff = func(budget string, w escrow.WriteOff) {
-		stranded.AddInt64(w.Outstanding - w.Used)
+		stranded.AddInt64(w.Idle)
 		logger.WithFields(log.Fields{
-			"account": budget, "share": w.Share, "held": w.Outstanding, "used": w.Used,
+			"account": budget, "share": w.Share, "held": w.Outstanding, "idle": w.Idle,
 		}).Warn("budget: counted what a killed process held as spent")
 	}
 	h.RefillInterval = func() time.Duration { return refillInterval(t.Counts()) }
