fleet, route, entry: one piece each for periodic loops, shard writes and framing

Found on reading the change again; no behaviour changes. - The loops of Shards.Run, Poller.Run, Recorder.Run and closeExpired were the same: pause.Every. - Two places encoded a shard, wrote it and cached it: shard.put. Two loops merged ledgers: merge with a rule. A shard's store is that of its owner. - The transport between instances had its own test for a body that ends with its connection; it calls conns.FramingOf, which the relay uses. - A zero time needs no check of its own in Share.outageTolerance.

--- a/coord/escrow/syncstate.go
+++ b/coord/escrow/syncstate.go
@@ -81,7 +81,7 @@
 // The caller holds the lock.
 func (s *Share) outageTolerance(now time.Time) time.Duration {
 	p := s.sync.policy
-	if p.ToleranceAfterKill > 0 && !s.sync.killSeenAt.IsZero() && now.Sub(s.sync.killSeenAt) < killMemory {
+	if p.ToleranceAfterKill > 0 && now.Sub(s.sync.killSeenAt) < killMemory {
 		return min(p.OutageTolerance, p.ToleranceAfterKill)
 	}
 	return p.OutageTolerance
--- a/internal/entry/settle/settle.go
+++ b/internal/entry/settle/settle.go
@@ -13,6 +13,7 @@
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/internal/entry/call"
 	"jacinthladder.dev/internal/entry/price"
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -98,18 +99,11 @@
 
 // Run writes the queued usage records every interval until ctx ends.
 func (r *Recorder) Run(ctx context.Context, interval time.Duration) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if err := r.Flush(ctx); err != nil && ctx.Err() == nil {
-				r.logger.WithError(err).Warnf("settle: write of usage records failed, %d records pending", r.Pending())
-			}
+	pause.Every(ctx, interval, func(time.Time) {
+		if err := r.Flush(ctx); err != nil && ctx.Err() == nil {
+			r.logger.WithError(err).Warnf("settle: write of usage records failed, %d records pending", r.Pending())
 		}
-	}
+	})
 }
 
 // Close writes the remaining usage records. It retries until ctx ends, and then returns
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -260,16 +260,7 @@
 // closeExpired closes the connections to endpoints that have been idle for longer than
 // their idle timeout. It does so every closeExpiredInterval until ctx ends.
 func (n *Node) closeExpired(ctx context.Context) {
-	t := time.NewTicker(closeExpiredInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			n.Pool.CloseExpired(now)
-		}
-	}
+	pause.Every(ctx, closeExpiredInterval, n.Pool.CloseExpired)
 }
 
 // stop performs a planned stop. It announces that the instance is leaving, accepts
--- a/internal/fleet/ledger/recovery.go
+++ b/internal/fleet/ledger/recovery.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -71,20 +71,32 @@
 	if era > r.era || r.known == nil {
 		r.era, r.known = era, map[string]entryJSON{}
 	}
-	merge(r.known, ledgers)
+	merge(r.known, ledgers, newer)
 }
 
-// merge puts those of the given ledgers into the map into that have a higher version than
-// there. It returns their number.
-func merge(into, ledgers map[string]entryJSON) int {
-	newer := 0
+// merge puts those of the given ledgers into the map into that supersede the one there. It
+// returns their number.
+func merge(into, ledgers map[string]entryJSON, supersedes func(e, stored entryJSON) bool) int {
+	count := 0
 	for budget, e := range ledgers {
-		if e.Version > into[budget].Version {
+		if supersedes(e, into[budget]) {
 			into[budget] = e
-			newer++
+			count++
 		}
 	}
-	return newer
+	return count
+}
+
+// newer reports whether e has a higher version than the stored ledger.
+func newer(e, stored entryJSON) bool { return e.Version > stored.Version }
+
+// newerOrAcknowledged reports whether e, which was acknowledged in the era that the
+// platform has lost, supersedes the stored ledger. It does so also if both have the same
+// version and differ. The stored one was then written by an instance that did not know yet
+// that the platform has lost changes, on the version that the copy has, and that write was
+// not acknowledged.
+func newerOrAcknowledged(e, stored entryJSON) bool {
+	return newer(e, stored) || e.Version == stored.Version && !bytes.Equal(e.Ledger, stored.Ledger)
 }
 
 // begin notes that the shard is to be completed for an era, after the time d at the
@@ -106,32 +118,16 @@
 		maps.Copy(content.Ledgers, r.known)
 		return len(r.known)
 	default:
-		return mergeAcknowledged(content.Ledgers, r.known)
+		return merge(content.Ledgers, r.known, newerOrAcknowledged)
 	}
 }
 
-// mergeAcknowledged does what merge does, and also replaces ledgers of the same version
-// that differ. Such a ledger was written by an instance that did not know yet that the
-// platform has lost changes, on the version that the copy has. That write was not
-// acknowledged.
-func mergeAcknowledged(into, ledgers map[string]entryJSON) int {
-	newer := 0
-	for budget, e := range ledgers {
-		stored := into[budget]
-		if e.Version > stored.Version || e.Version == stored.Version && !bytes.Equal(e.Ledger, stored.Ledger) {
-			into[budget] = e
-			newer++
-		}
-	}
-	return newer
-}
-
 // era returns the platform's era, and whether the platform has eras.
 func (s *shard) era() (era int64, stated bool) {
-	if s.store.Era == nil {
+	if s.owner.store.Era == nil {
 		return 0, false
 	}
-	return s.store.Era()
+	return s.owner.store.Era()
 }
 
 // complete reports whether the content of the shard has all changes of eras before the
@@ -161,28 +157,23 @@
 	content = content.clone()
 	s.mu.Lock()
 	s.recovery.begin(era, s.owner.RecoveryTime)
-	newer := s.recovery.addKnown(&content)
+	added := s.recovery.addKnown(&content)
 	done := time.Since(s.recovery.since) >= s.recovery.delay
 	s.mu.Unlock()
-	if newer == 0 && !done {
+	if added == 0 && !done {
 		s.noteWrittenBack()
 		return content, version, errIncomplete
 	}
 	if done {
 		content.Era = era
 	}
-	data, err := json.Marshal(content)
-	if err != nil {
-		return content, version, errors.Wrapf(err, "ledger: encode shard %s", s.name)
-	}
-	written, err := s.store.Put(ctx, ShardKind, s.name, version, data)
+	written, err := s.put(ctx, content, version)
 	if err != nil {
 		return content, version, err
 	}
-	s.setCached(content, written)
 	s.noteWrittenBack()
 	if s.owner.Recovered != nil {
-		s.owner.Recovered(s.name, newer, done)
+		s.owner.Recovered(s.name, added, done)
 	}
 	if !done {
 		return content, written, errIncomplete
@@ -200,14 +191,7 @@
 // Run completes the shards that this instance knows each time that the platform has come
 // back from an older copy of its content, until ctx ends.
 func (s *Shards) Run(ctx context.Context) {
-	t := time.NewTicker(recoveryInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pause.Every(ctx, recoveryInterval, func(time.Time) {
 		var work sync.WaitGroup
 		for _, sh := range s.shards {
 			if sh.recoveryDue() {
@@ -215,7 +199,7 @@
 			}
 		}
 		work.Wait()
-	}
+	})
 }
 
 // recoveryDue reports whether this instance should now write back what it knows of the
--- a/internal/fleet/ledger/shards.go
+++ b/internal/fleet/ledger/shards.go
@@ -74,7 +74,7 @@
 func NewShards(store *object.Store, count int) *Shards {
 	s := &Shards{store: store, RecoveryTime: defaultRecoveryTime}
 	for i := range max(count, 1) {
-		s.shards = append(s.shards, &shard{owner: s, store: store, name: fmt.Sprintf("group-%d", i), writing: make(chan struct{}, 1)})
+		s.shards = append(s.shards, &shard{owner: s, name: fmt.Sprintf("group-%d", i), writing: make(chan struct{}, 1)})
 	}
 	return s
 }
@@ -212,7 +212,6 @@
 // pending reads share the next read call, and all pending writes the next write call.
 type shard struct {
 	owner *Shards
-	store *object.Store
 	name  string // name of the platform object
 
 	mu        sync.Mutex
@@ -362,17 +361,25 @@
 	if !applyAll(changes, content) {
 		return nil
 	}
+	if _, err := s.put(ctx, content, version); err != nil {
+		return err
+	}
+	s.recordAtPeer(ctx, changes, content)
+	return nil
+}
+
+// put writes content in place of the given version of the platform object, caches it and
+// returns its version.
+func (s *shard) put(ctx context.Context, content shardJSON, version int64) (written int64, err error) {
 	data, err := json.Marshal(content)
 	if err != nil {
-		return errors.Wrapf(err, "ledger: encode shard %s", s.name)
+		return 0, errors.Wrapf(err, "ledger: encode shard %s", s.name)
 	}
-	written, err := s.store.Put(ctx, ShardKind, s.name, version, data)
-	if err != nil {
-		return err
+	if written, err = s.owner.store.Put(ctx, ShardKind, s.name, version, data); err != nil {
+		return 0, err
 	}
 	s.setCached(content, written)
-	s.recordAtPeer(ctx, changes, content)
-	return nil
+	return written, nil
 }
 
 // applyAll runs the edits of all changes on the content of a shard and reports whether
@@ -441,7 +448,7 @@
 // that does not exist yet has empty content and version 0.
 func (s *shard) fetch(ctx context.Context) (shardJSON, int64, error) {
 	content := shardJSON{}
-	o, err := s.store.Get(ctx, ShardKind, s.name)
+	o, err := s.owner.store.Get(ctx, ShardKind, s.name)
 	switch {
 	case errors.Is(err, object.ErrNotFound):
 	case err != nil:
--- a/internal/fleet/pause/pause.go
+++ b/internal/fleet/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause provides a sleep that the end of a context cuts short.
+// Package pause provides sleeps and repeated calls that the end of a context cuts short.
 package pause
 
 import (
@@ -13,3 +13,18 @@
 	case <-time.After(d):
 	}
 }
+
+// Every calls do once per interval until ctx ends, with the time of the tick. Of the
+// ticks during a call, one is handled after it and the others are dropped.
+func Every(ctx context.Context, interval time.Duration, do func(now time.Time)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			do(now)
+		}
+	}
+}
--- a/internal/fleet/peers/framed.go
+++ b/internal/fleet/peers/framed.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/forward/conns"
 )
 
 // framedTransport is an HTTP transport that fails if the response has neither a length
@@ -17,7 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if conns.FramingOf(resp) == conns.ByClose {
 		return nil, errors.CombineErrors(errors.New("peers: the reply has neither a length nor chunks"), resp.Body.Close())
 	}
 	return resp, nil
--- a/internal/forward/conns/framing.go
+++ b/internal/forward/conns/framing.go
@@ -17,7 +17,7 @@
 	ByClose Framing = "close"
 )
 
-// FramingOf returns the framing of a response that ReadResponse has returned.
+// FramingOf returns the framing of a response whose body was not read yet.
 func FramingOf(resp *http.Response) Framing {
 	switch {
 	case resp.Body == http.NoBody:
--- a/internal/route/health/poller.go
+++ b/internal/route/health/poller.go
@@ -11,6 +11,7 @@
 
 	"jacinthladder.dev/internal/conf/spec"
 	"jacinthladder.dev/internal/fleet/config"
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/route/choose"
 )
 
@@ -74,16 +75,7 @@
 
 // Run calls Poll once per pollInterval until ctx is done.
 func (p *Poller) Run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			p.Poll(ctx)
-		}
-	}
+	pause.Every(ctx, pollInterval, func(time.Time) { p.Poll(ctx) })
 }
 
 // Poll fetches one report from each model engine that this instance uses. It returns
