feed, serve: log what tells the hypotheses of DRAIN apart

A line of an attempt says how old the registry's last response was (registry, ms); an endpoint's entry is logged with its start time; a feed logs that an object is missing from a list and that it stayed missing. No logic is changed.

--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -95,7 +95,7 @@
 	server := front.NewServer(table, holder, feeds, picker, shards, logger)
 	gossiper := front.NewGossiper(peersClient, server, s, logger)
 	pool := front.NewPool()
-	serveServer := front.NewForwarder(routes, picker, pool, reserver, retryLimits, set, logger)
+	serveServer := front.NewForwarder(routes, feeds, picker, pool, reserver, retryLimits, set, logger)
 	deps := front.Deps{
 		Settings:    s,
 		Listeners:   listeners,
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -63,6 +63,7 @@
 	listed      bool                     // all objects of the kind were listed at least once
 	changed     chan struct{}            // closed and replaced after each change
 	unavailable bool                     // the last call to the platform failed, other than with object.ErrExpired
+	heardAt     time.Time                // when the platform last responded, zero before the first response
 }
 
 // New returns a feed without objects for the given kind. The caller must set Apply.
@@ -81,6 +82,17 @@
 	return f.listed
 }
 
+// Age returns the time since the platform last responded to this feed. Before the first
+// response it is 0.
+func (f *Feed) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.heardAt.IsZero() {
+		return 0
+	}
+	return now.Sub(f.heardAt)
+}
+
 // Version returns the highest version of the known objects, including deleted ones, and 0
 // if no object is known.
 func (f *Feed) Version() int64 {
@@ -250,6 +262,7 @@
 	defer f.mu.Unlock()
 	f.watched = page.Version()
 	f.listed = true
+	f.heardAt = time.Now()
 	return len(page.Objects()) > 0, nil
 }
 
@@ -287,6 +300,7 @@
 	for name, o := range f.objects {
 		if _, known := f.missing[name]; !known && !present[name] && !o.Deleted() && o.Version() <= page.Version() {
 			f.missing[name] = now
+			f.logger.WithFields(log.Fields{"kind": f.kind, "name": name, "version": page.Version()}).Info("feed: an object is missing from the platform's list, kept for a while")
 		}
 	}
 }
@@ -299,6 +313,7 @@
 	for name, since := range f.missing {
 		if now.Sub(since) >= f.DeleteGrace {
 			deleted = append(deleted, object.Tombstone(f.kind, name, f.objects[name].Version()))
+			f.logger.WithFields(log.Fields{"kind": f.kind, "name": name, "ms": now.Sub(since).Milliseconds()}).Info("feed: an object stayed missing, it counts as deleted")
 		}
 	}
 	f.mu.Unlock()
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -192,7 +192,7 @@
 		return
 	}
 	if p.Update(e, time.Now()) {
-		l.WithFields(log.Fields{"service": e.Service, "zone": e.Zone, "leaving": e.Leaving}).Info("endpoint: changed, applied its new registry entry")
+		l.WithFields(log.Fields{"service": e.Service, "zone": e.Zone, "leaving": e.Leaving, "started": e.StartedAt}).Info("endpoint: changed, applied its new registry entry")
 	}
 }
 
@@ -456,9 +456,10 @@
 func NewPool() *conns.Pool { return &conns.Pool{} }
 
 // NewForwarder returns the HTTP handler that forwards callers' requests to endpoints.
-func NewForwarder(routes *Routes, p *picker.Picker, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
+func NewForwarder(routes *Routes, f *Feeds, p *picker.Picker, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
 	return &serve.Server{
 		Table: routes.Table, Picker: p, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
-		Metrics: serve.NewMetrics(set), Logger: logger,
+		RegistryAge: func() time.Duration { return f.endpoints.Age(time.Now()) },
+		Metrics:     serve.NewMetrics(set), Logger: logger,
 	}
 }
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -177,6 +177,9 @@
 		"request": x.request.ID, "route": x.route.Name, "version": x.table.Version(), "endpoint": e.ID,
 		"zone": e.Zone, "cached": pk.CachedTokens(), "send": x.attempts, "ms": time.Since(x.startedAt).Milliseconds(),
 	}
+	if x.RegistryAge != nil {
+		f["registry"] = x.RegistryAge().Milliseconds()
+	}
 	x.received.addFields(f)
 	if err == nil {
 		x.Logger.WithFields(f).Info("send: answered")
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -50,8 +50,11 @@
 	// their retries.
 	Retries func(service string) *retry.Window
 	Codec   meta.Codec
-	Metrics *Metrics
-	Logger  log.Interface
+	// RegistryAge, if set, returns the time since the platform's registry of endpoints last
+	// responded to this instance, for the log.
+	RegistryAge func() time.Duration
+	Metrics     *Metrics
+	Logger      log.Interface
 
 	inFlight atomic.Int64
 	requests sync.WaitGroup
