--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -20,11 +20,21 @@
 	mu        sync.Mutex
 	objects   map[string]object.Object
 	version   int64
-	stalled   bool  // each watch with a wait above 0 returns only when its context ends, with an error
+	stalled   bool // each watch with a wait above 0 returns only when its context ends, with an error
+	failing   outage
 	compacted int64 // a watch from a lower version fails, because the history before this version is not available
 	calls     int   // number of watches so far
 }
 
+// outage is the way in which a store fails each call.
+type outage int
+
+const (
+	noOutage outage = iota
+	refusing        // an error comes at once
+	silent          // no response comes
+)
+
 // set stores an object, at the version that the object gives.
 func (p *fakeStore) set(o object.Object) {
 	p.mu.Lock()
@@ -43,13 +53,24 @@
 	p.compacted = p.version
 }
 
+// fail makes each further call fail in the given way.
+func (p *fakeStore) fail(o outage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failing = o
+}
+
 // watch implements object.Store.Watch.
 func (p *fakeStore) watch(ctx context.Context, _ string, after int64, wait time.Duration) (object.Page, error) {
 	p.mu.Lock()
 	p.calls++
-	stalled := p.stalled
+	stalled := p.stalled && wait > 0 || p.failing == silent
+	refused := p.failing == refusing
 	p.mu.Unlock()
-	if stalled && wait > 0 {
+	if refused {
+		return object.Page{}, object.ErrRefused
+	}
+	if stalled {
 		<-ctx.Done()
 		return object.Page{}, object.ErrUnknownOutcome
 	}
@@ -157,6 +178,30 @@
 	})
 }
 
+// TestObjectRemovedInAnOutageIsDeletedWithinThreeSecondsOfItsEnd checks it for ends at all
+// moments between two calls of the feed.
+func TestObjectRemovedInAnOutageIsDeletedWithinThreeSecondsOfItsEnd(t *testing.T) {
+	for _, failing := range []outage{refusing, silent} {
+		for end := time.Duration(0); end < 3*time.Second; end += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				p := &fakeStore{objects: map[string]object.Object{}, version: 5}
+				p.set(object.New("thing", "a", 6, nil))
+				p.set(object.New("thing", "b", 7, nil))
+				_, applied := startFeed(t, p, func(f *Feed) { f.WatchTimeout, f.DeleteGrace = 2*time.Second, 2*time.Second })
+				time.Sleep(500 * time.Millisecond)
+				p.fail(failing)
+				time.Sleep(4*time.Second + end)
+				p.drop("a")
+				p.fail(noOutage)
+				time.Sleep(3 * time.Second)
+				if o, _ := applied("a"); !o.Deleted() {
+					t.Errorf("outage %d that ended after %s: 3 s later the feed has not deleted the object removed in it, want it deleted", failing, 4*time.Second+end)
+				}
+			})
+		}
+	}
+}
+
 // TestPeerObjectsAreMerged checks that MergePeer applies a newer version of an object, and
 // that an older version passed to it afterwards changes nothing.
 func TestPeerObjectsAreMerged(t *testing.T) {
