fleet: pass entries of endpoints and their removals from peer to peer

Cause: an instance that the store turned away heard of configurations and of reported leaves from its peers, but of no removal. An endpoint that leaves without reporting it is only removed from the registry, so such an instance went on sending to it until it heard from the store itself.

Entries and removals are now exchanged as the configuration is: a heartbeat has the highest version known, and a peer with a lower one fetches the difference. A removal is kept at the version of the response that showed it, up to which the object was not written again, so it has its place in the order and nothing older reverts it. Storing and applying are one step, since two sources feed it now. An object that a peer still lists no longer ends its being missing from the platform's list.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,9 +39,9 @@
 // Feed follows the changes of the objects of one kind. Make one with New, and set Apply
 // before use.
 type Feed struct {
-	kind   string
-	store  *object.Store
-	logger log.Interface
+	kind     string
+	platform *object.Store
+	logger   log.Interface
 
 	// DeleteGrace is how long an object must be missing from the platform's lists
 	// before it counts as deleted; 0 means that it counts as deleted at once.
@@ -52,10 +51,11 @@
 	WatchTimeout time.Duration
 	// Apply is called with each received object that is newer than the version of this
 	// object that the feed knows. Source says where it comes from: "platform" or a peer's
-	// name. The objects of one response are passed one at a time
-	// in order of version. MergePeer and Run can call Apply at the same time.
+	// name. The objects of one response are passed in order of version, and there is one call
+	// at a time.
 	Apply func(source string, o object.Object)
 
+	applying    sync.Mutex // held while objects are stored and applied, so that both have the same order
 	mu          sync.Mutex
 	objects     map[string]object.Object // known objects by name, including deleted ones
 	missing     map[string]time.Time     // when a known object was first missing from a list of the platform, by name
@@ -67,9 +67,9 @@
 }
 
 // New returns a feed without objects for the given kind. The caller must set Apply.
-func New(kind string, store *object.Store, logger log.Interface) *Feed {
+func New(kind string, platform *object.Store, logger log.Interface) *Feed {
 	return &Feed{
-		kind: kind, store: store, logger: logger, WatchTimeout: defaultWatchTimeout,
+		kind: kind, platform: platform, logger: logger, WatchTimeout: defaultWatchTimeout,
 		objects: map[string]object.Object{}, missing: map[string]time.Time{}, changed: make(chan struct{}),
 	}
 }
@@ -93,18 +93,6 @@
 	return now.Sub(f.heardAt)
 }
 
-// Version returns the highest version of the known objects, including deleted ones, and 0
-// if no object is known.
-func (f *Feed) Version() int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var newest int64
-	for _, o := range f.objects {
-		newest = max(newest, o.Version())
-	}
-	return newest
-}
-
 // Changed returns a channel that is closed after the feed has applied the next change of
 // any object.
 func (f *Feed) Changed() <-chan struct{} {
@@ -113,79 +101,6 @@
 	return f.changed
 }
 
-// Since returns the known objects with a version above after, in order of version. It
-// leaves out deleted objects. The second result is the result of Version: the highest
-// version of the known objects, including deleted ones.
-func (f *Feed) Since(after int64) ([]object.Object, int64) {
-	newest := f.Version()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var updates []object.Object
-	for _, o := range f.objects {
-		if o.Version() > after && !o.Deleted() {
-			updates = append(updates, o)
-		}
-	}
-	slices.SortFunc(updates, byVersion)
-	return updates, newest
-}
-
-// MergePeer stores and applies those objects from a peer that are newer than the objects
-// that the feed knows. The peer is named as the source in calls of Apply. The last
-// argument, the version up to which the peer's objects are complete, is not used: the
-// feed watches the platform itself.
-func (f *Feed) MergePeer(peer string, objects []object.Object, _ int64) { f.merge(peer, objects) }
-
-// byVersion compares two objects by version, for sorting.
-func byVersion(a, b object.Object) int {
-	switch {
-	case a.Version() < b.Version():
-		return -1
-	case a.Version() > b.Version():
-		return 1
-	}
-	return 0
-}
-
-// merge stores those of the given objects that are newer than the objects that the feed
-// knows, and calls Apply with each of them, in order of version. If there are any, it then
-// closes the channel that Changed returned. Source says where the objects come from:
-// "platform" or a peer's name.
-func (f *Feed) merge(source string, objects []object.Object) {
-	objects = slices.Clone(objects)
-	slices.SortFunc(objects, byVersion)
-	f.mu.Lock()
-	var updates []object.Object
-	for _, o := range objects {
-		delete(f.missing, o.Name())
-		if old, ok := f.objects[o.Name()]; ok && !newer(o, old) {
-			continue
-		}
-		f.objects[o.Name()] = o
-		updates = append(updates, o)
-	}
-	f.mu.Unlock()
-	for _, o := range updates {
-		f.Apply(source, o)
-	}
-	if len(updates) > 0 {
-		f.mu.Lock()
-		close(f.changed)
-		f.changed = make(chan struct{})
-		f.mu.Unlock()
-	}
-}
-
-// newer reports whether o, a received state of an object, is newer than its known state
-// old. A deletion may have the version of the object's last change, so at the same
-// version it is newer than that change.
-func newer(o, old object.Object) bool {
-	if o.Deleted() && !old.Deleted() {
-		return o.Version() >= old.Version()
-	}
-	return o.Version() > old.Version()
-}
-
 // Run lists all objects of the kind on the platform and then watches the kind for changes,
 // until ctx ends. It calls Apply with each update. Between calls to the platform it waits
 // for minBatchDelay to maxBatchDelay, and after failed calls it backs off.
@@ -248,16 +163,16 @@
 	}
 	call, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
-	page, err := f.store.Watch(call, f.kind, after, wait)
+	page, err := f.platform.Watch(call, f.kind, after, wait)
 	f.logState(err, ctx.Err() != nil)
 	if err != nil {
 		return false, err
 	}
-	f.merge("platform", page.Objects())
+	f.merge("platform", lastStates(page))
 	if after == 0 {
 		f.noteMissing(page, time.Now())
 	}
-	f.deleteMissing(time.Now())
+	f.deleteMissing(page.Version(), time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.watched = page.Version()
@@ -286,36 +201,3 @@
 		f.logger.WithField("kind", f.kind).WithField("version", version).Info("feed: platform is back")
 	}
 }
-
-// noteMissing records now as the time since which known objects have been missing from the
-// platform. Page is a list of all objects of the kind. noteMissing skips known objects
-// that are newer than the list or were recorded before.
-func (f *Feed) noteMissing(page object.Page, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	present := map[string]bool{}
-	for _, o := range page.Objects() {
-		present[o.Name()] = true
-	}
-	for name, o := range f.objects {
-		if _, known := f.missing[name]; !known && !present[name] && !o.Deleted() && o.Version() <= page.Version() {
-			f.missing[name] = now
-			f.logger.WithFields(log.Fields{"kind": f.kind, "name": name, "version": page.Version()}).Info("feed: an object is missing from the platform's list, kept for a while")
-		}
-	}
-}
-
-// deleteMissing applies a deletion of each known object that has been missing from the
-// platform's lists for DeleteGrace.
-func (f *Feed) deleteMissing(now time.Time) {
-	var deleted []object.Object
-	f.mu.Lock()
-	for name, since := range f.missing {
-		if now.Sub(since) >= f.DeleteGrace {
-			deleted = append(deleted, object.Tombstone(f.kind, name, f.objects[name].Version()))
-			f.logger.WithFields(log.Fields{"kind": f.kind, "name": name, "ms": now.Sub(since).Milliseconds()}).Info("feed: an object stayed missing, it counts as deleted")
-		}
-	}
-	f.mu.Unlock()
-	f.merge("platform", deleted)
-}
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -248,3 +248,33 @@
 		}
 	})
 }
+
+// TestDeletionReachesFeedThatOnlyHearsFromPeer checks it for an object whose event gives the
+// version of its last change, and for one that was written again before the same response.
+func TestDeletionReachesFeedThatOnlyHearsFromPeer(t *testing.T) {
+	newFeed := func() *Feed {
+		f := New("thing", nil, &log.Logger{Handler: discard.New()})
+		f.Apply = func(string, object.Object) {}
+		return f
+	}
+	hears, away := newFeed(), newFeed()
+	both := func() object.Page {
+		return object.NewPage([]object.Object{object.New("thing", "a", 6, nil), object.New("thing", "b", 7, nil)}, 7)
+	}
+	hears.merge("platform", lastStates(both()))
+	away.merge("platform", lastStates(both()))
+	hears.merge("platform", lastStates(object.NewPage([]object.Object{
+		object.Tombstone("thing", "a", 6), object.Tombstone("thing", "b", 7), object.New("thing", "b", 9, nil),
+	}, 10)))
+	objects, complete := hears.Since(away.Version())
+	away.MergePeer("peer", objects, complete)
+	if o := away.objects["a"]; !o.Deleted() {
+		t.Errorf("the feed has object a at version %d, not deleted, want it deleted as at the peer", o.Version())
+	}
+	if o := away.objects["b"]; o.Deleted() || o.Version() != 9 {
+		t.Errorf("object b has version %d and deleted %t, want the version 9 of the peer", o.Version(), o.Deleted())
+	}
+	if away.Version() != hears.Version() {
+		t.Errorf("after the merge the feed has version %d, want %d, that of the peer", away.Version(), hears.Version())
+	}
+}
--- a/internal/fleet/front/doc.go
+++ b/internal/fleet/front/doc.go
@@ -3,8 +3,8 @@
 //
 // The instance has no durable state of its own. It watches the routes and the endpoints
 // in the platform's store and reserves prepaid budget for each request. Its peers also
-// send it the routes and the IDs of endpoints that are leaving, so that it has both while
-// the store refuses its calls. The instance is ready for requests while it has a
-// configuration and endpoints and its start is complete, but not after the start of a
-// planned stop.
+// send it the routes, the entries of endpoints and the IDs of endpoints that are leaving,
+// so that it has them while the store refuses its calls. The instance is ready for requests
+// while it has a configuration and endpoints and its start is complete, but not after the
+// start of a planned stop.
 package front
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -414,16 +414,19 @@
 const retryFraction = 0.8
 
 // NewServer returns the server that handles the calls of peers. It exchanges the
-// configuration and the IDs of endpoints that are leaving with them. When a peer reports
-// an endpoint as leaving, the server marks the endpoint as leaving in p.
+// configuration, the entries of endpoints and the IDs of endpoints that are leaving with
+// them. When a peer reports an endpoint as leaving, the server marks the endpoint as
+// leaving in p.
 func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, shards *ledger.Shards, logger log.Interface) *peers.Server {
 	return &peers.Server{
 		Members: t, Holder: h, HandleKeep: shards.Keep,
-		Config: peers.ConfigSync{
+		Config: peers.ObjectSync{
 			Changed: f.routes.Changed, CompleteVersion: f.routes.Version, Since: f.routes.Since, MergePeer: f.routes.MergePeer,
 		},
+		Registry: &peers.ObjectSync{CompleteVersion: f.endpoints.Version, Since: f.endpoints.Since, MergePeer: f.endpoints.MergePeer},
 		LocalHeartbeat: func() *peerwire.BeatNote {
 			n := peers.NewHeartbeat(t, f.routes.Version())
+			n.Registry = f.endpoints.Version()
 			for _, e := range p.Leaving() {
 				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: e.ID, Started: e.StartedAt})
 			}
--- a/internal/fleet/node/providers.go
+++ b/internal/fleet/node/providers.go
@@ -124,7 +124,7 @@
 func NewServer(t *member.Table, h *escrow.Holder, c *config.Cache, p *choose.Picker, l *limit.Limiter) *peers.Server {
 	return &peers.Server{
 		Members: t, Holder: h,
-		Config: peers.ConfigSync{Changed: c.Changed, CompleteVersion: c.CompleteVersion, Since: c.Since, MergePeer: c.MergePeer},
+		Config: peers.ObjectSync{Changed: c.Changed, CompleteVersion: c.CompleteVersion, Since: c.Since, MergePeer: c.MergePeer},
 		LocalHeartbeat: func() *peerwire.BeatNote {
 			n := peers.NewHeartbeat(t, c.CompleteVersion())
 			for name, left := range p.Leaving() {
--- a/internal/fleet/peers/gossip.go
+++ b/internal/fleet/peers/gossip.go
@@ -29,8 +29,8 @@
 	// maxUnknown is the maximum number of heartbeats in one round to addresses that are in
 	// the instance list but belong to no live member.
 	maxUnknown = 4
-	// fetchQueueSize is the maximum number of queued fetches of configuration from
-	// peers. Further ones are dropped.
+	// fetchQueueSize is the maximum number of queued fetches of objects from peers.
+	// Further ones are dropped.
 	fetchQueueSize = 16
 )
 
@@ -49,15 +49,15 @@
 
 	entries    []roster.Entry // instance list at the last successful read
 	listedAt   time.Time      // start of the last read of the instance list
-	fetchQueue chan string    // addresses of peers from which newer configuration must be fetched
+	fetchQueue chan string    // addresses of peers from which newer objects must be fetched
 }
 
 // NewGossiper returns a gossiper that sends the heartbeats of server s to peers at the
 // given interval. It finds unknown peers through the instance list l, unless l is nil. It
-// also fetches configuration from peers whose heartbeats show a newer version.
+// also fetches objects from peers whose heartbeats show a newer version.
 func NewGossiper(c *Client, s *Server, l *roster.Source, interval time.Duration, logger log.Interface) *Gossiper {
 	g := &Gossiper{Client: c, Server: s, Roster: l, Interval: interval, Logger: logger, fetchQueue: make(chan string, fetchQueueSize)}
-	s.onNewerConfig = func(address string) {
+	s.onNewer = func(address string) {
 		select {
 		case g.fetchQueue <- address:
 		default: // the queue is full; enough fetches are pending
@@ -89,7 +89,7 @@
 }
 
 // wait waits until the next round of heartbeats is due: at the next tick or when changed
-// is closed. In the meantime it fetches configuration from the queued peers. It returns
+// is closed. In the meantime it fetches objects from the queued peers. It returns
 // false if ctx ends first.
 func (g *Gossiper) wait(ctx context.Context, tick <-chan time.Time, changed <-chan struct{}) bool {
 	for {
@@ -102,7 +102,7 @@
 			return true
 		case address := <-g.fetchQueue:
 			if err := g.exchange(ctx, address); err != nil {
-				g.Logger.WithError(err).Debug("peers: could not fetch configuration from a peer")
+				g.Logger.WithError(err).Debug("peers: could not fetch objects from a peer")
 			}
 		}
 	}
@@ -165,7 +165,7 @@
 }
 
 // exchange sends a heartbeat to the peer at an address and processes the peer's heartbeat
-// in the reply. If the peer has newer configuration, exchange fetches it.
+// in the reply. If the peer has newer objects, exchange fetches them.
 func (g *Gossiper) exchange(ctx context.Context, address string) error {
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
@@ -175,23 +175,30 @@
 		return errors.Wrap(err, "peers: call Beat")
 	}
 	g.Server.Receive(reply)
-	return g.fetchConfig(callCtx, stub, reply)
+	err = g.fetch(callCtx, stub, reply, false)
+	if g.Server.Registry != nil {
+		err = errors.CombineErrors(err, g.fetch(callCtx, stub, reply, true))
+	}
+	return err
 }
 
-// fetchConfig fetches configuration from a peer and merges it, until this instance has
-// the version that the peer's heartbeat n shows. One reply may hold only a part of the
-// configuration. fetchConfig gives up when a reply does not raise the version.
-func (g *Gossiper) fetchConfig(ctx context.Context, stub wire.Peers, n *wire.BeatNote) error {
-	sync := g.Server.Config
-	for n.GetConfig() > sync.CompleteVersion() {
+// fetch fetches configuration, or the entries of endpoints, from a peer and merges them,
+// until this instance has the version that the peer's heartbeat n shows. One reply may
+// hold only a part. fetch gives up when a reply does not raise the version.
+func (g *Gossiper) fetch(ctx context.Context, stub wire.Peers, n *wire.BeatNote, registry bool) error {
+	sync, newest := &g.Server.Config, n.GetConfig()
+	if registry {
+		sync, newest = g.Server.Registry, n.GetRegistry()
+	}
+	for newest > sync.CompleteVersion() {
 		before := sync.CompleteVersion()
-		reply, err := stub.Docs(ctx, &wire.DocsAsk{After: before})
+		reply, err := stub.Docs(ctx, &wire.DocsAsk{After: before, Registry: registry})
 		if err != nil {
 			return errors.Wrap(err, "peers: call Docs")
 		}
 		objects := make([]object.Object, len(reply.GetDocs()))
 		for i, d := range reply.GetDocs() {
-			objects[i] = object.New(d.GetKind(), d.GetName(), d.GetVersion(), d.GetValue())
+			objects[i] = objectFromWire(d)
 		}
 		sync.MergePeer(member.Name(n.GetSelf().GetProcess()), objects, reply.GetComplete())
 		if sync.CompleteVersion() <= before {
@@ -201,6 +208,13 @@
 	return nil
 }
 
+func objectFromWire(n *wire.DocNote) object.Object {
+	if n.GetDeleted() {
+		return object.Tombstone(n.GetKind(), n.GetName(), n.GetVersion())
+	}
+	return object.New(n.GetKind(), n.GetName(), n.GetVersion(), n.GetValue())
+}
+
 // NewHeartbeat returns a heartbeat of this instance. It contains this instance's own entry
 // in t and a sample of the live members in t. Config is the platform version up to which
 // this instance has all configuration.
--- a/internal/fleet/peers/server.go
+++ b/internal/fleet/peers/server.go
@@ -24,14 +24,15 @@
 	maxRequestWait = 30 * time.Second
 )
 
-// ConfigSync is the set of functions through which peers exchange configuration.
-type ConfigSync struct {
-	// Changed returns a channel that is closed at the next change of the configuration.
+// ObjectSync is the set of functions through which peers exchange objects of the platform:
+// configuration, or entries of endpoints.
+type ObjectSync struct {
+	// Changed returns a channel that is closed at the next change of the objects.
 	Changed func() <-chan struct{}
 	// CompleteVersion returns the platform version up to which this instance has all
-	// configuration.
+	// objects.
 	CompleteVersion func() int64
-	// Since returns the configuration objects with a version above after, in order of
+	// Since returns the objects with a version above after, deleted ones too, in order of
 	// version. The second result is the platform version up to which these objects are
 	// complete.
 	Since func(after int64) ([]object.Object, int64)
@@ -46,7 +47,9 @@
 type Server struct {
 	Members *member.Table
 	Holder  *escrow.Holder
-	Config  ConfigSync
+	Config  ObjectSync
+	// Registry, if set, exchanges the entries of endpoints.
+	Registry *ObjectSync
 	// OnHeartbeat, if set, is called with each heartbeat of a peer, after the members in
 	// the heartbeat have been merged into Members. LocalHeartbeat returns the heartbeat
 	// that this instance sends.
@@ -61,7 +64,7 @@
 	// HandleKeep, if set, remembers ledgers that a peer has written.
 	HandleKeep func(r ledger.Record)
 
-	onNewerConfig func(address string) // called with the address of a peer that has newer configuration
+	onNewer func(address string) // called with the address of a peer that has newer objects
 }
 
 // Keep remembers the ledgers that a peer has written.
@@ -81,15 +84,20 @@
 func (s *Server) Handler() http.Handler { return wire.NewPeersServer(s) }
 
 // Beat processes the heartbeat of a peer and returns the heartbeat of this instance. If
-// the peer has newer configuration, Beat queues a fetch from it.
+// the peer has newer objects, Beat queues a fetch from it.
 func (s *Server) Beat(_ context.Context, n *wire.BeatNote) (*wire.BeatNote, error) {
 	s.Receive(n)
-	if s.onNewerConfig != nil && n.GetConfig() > s.Config.CompleteVersion() {
-		s.onNewerConfig(n.GetSelf().GetAddress())
+	if s.onNewer != nil && s.hasNewer(n) {
+		s.onNewer(n.GetSelf().GetAddress())
 	}
 	return s.LocalHeartbeat(), nil
 }
 
+// hasNewer reports whether the sender of a heartbeat has newer objects than this instance.
+func (s *Server) hasNewer(n *wire.BeatNote) bool {
+	return n.GetConfig() > s.Config.CompleteVersion() || s.Registry != nil && n.GetRegistry() > s.Registry.CompleteVersion()
+}
+
 // Receive merges the members in a peer's heartbeat into the membership table and passes
 // the heartbeat to OnHeartbeat.
 func (s *Server) Receive(n *wire.BeatNote) {
@@ -105,10 +113,17 @@
 	}
 }
 
-// Docs returns the configuration objects with a version above the field After of n, up to
-// maxDocsBytes of values. The peer fetches the remaining objects with further calls.
+// Docs returns the objects with a version above the field After of n, up to maxDocsBytes of
+// values. The peer fetches the remaining objects with further calls.
 func (s *Server) Docs(_ context.Context, n *wire.DocsAsk) (*wire.DocsAnswer, error) {
-	objects, complete := s.Config.Since(n.GetAfter())
+	sync := &s.Config
+	if n.GetRegistry() {
+		sync = s.Registry
+	}
+	if sync == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this instance has no entries of endpoints")
+	}
+	objects, complete := sync.Since(n.GetAfter())
 	reply := &wire.DocsAnswer{Complete: complete}
 	size := 0
 	for _, o := range objects {
@@ -119,7 +134,7 @@
 			reply.Complete = reply.Docs[len(reply.Docs)-1].Version
 			break
 		}
-		reply.Docs = append(reply.Docs, &wire.DocNote{Kind: o.Kind(), Name: o.Name(), Version: o.Version(), Value: o.Value()})
+		reply.Docs = append(reply.Docs, &wire.DocNote{Kind: o.Kind(), Name: o.Name(), Version: o.Version(), Value: o.Value(), Deleted: o.Deleted()})
 	}
 	return reply, nil
 }
