feed: delete a missing object within three seconds of the platform's return

Cause: an entry that is missing from the platform's list is kept for a while, since entries that expired in an outage are back within two seconds. That while was 2.5 s; it began only when a call succeeded, and a call to a platform that does not respond took 1.4 s and was followed by a pause of up to 0.6 s; and it ended with the next response to a watch, up to 0.8 s later. Together up to 4.0 s, but an instance counts as in touch 3 s after the return.

An object that is due to be deleted is forgotten as missing whether or not its deletion is accepted.

Evidence: TestObjectRemovedInAnOutageIsDeletedWithinThreeSecondsOfItsEnd failed (up to 4.0 s) and passes, six runs; TestEndpointRemovedInAnOutageGetsNothingAfterIt failed (323 to 679 requests) and passes, twice.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -16,10 +16,10 @@
 const (
 	// defaultWatchTimeout is the value of Feed.WatchTimeout that New sets.
 	defaultWatchTimeout = 20 * time.Second
-	// probeTimeout is the maximum time that a watch after a failed call waits for an
-	// update. It is short, so that another stalled connection does not delay the next
-	// update.
-	probeTimeout = 500 * time.Millisecond
+	// probeInterval is the interval between calls to a platform that does not respond. It
+	// is shorter than responseTimeout, so that the feed soon learns that the platform is
+	// back: what is missing from its list is kept for DeleteGrace from then on.
+	probeInterval = 600 * time.Millisecond
 	// responseTimeout is how long a response of the platform may take beyond the time
 	// that the watch waits for an update.
 	responseTimeout = 900 * time.Millisecond
@@ -113,8 +113,8 @@
 		switch {
 		case err == nil:
 			b.Reset()
-			wait = f.nextTimeout()
-			pause.For(ctx, delay)
+			pause.For(ctx, min(delay, f.nextTimeout(time.Now())))
+			wait = f.nextTimeout(time.Now())
 			delay = min(2*delay, maxBatchDelay)
 			if !changed {
 				delay = minBatchDelay
@@ -125,21 +125,22 @@
 			wait = 0
 			continue
 		}
-		wait = min(wait, probeTimeout)
+		wait = 0
 		pause.For(ctx, b.NextBackOff())
 	}
 }
 
-// nextTimeout returns how long the next watch may wait for an update. That is
-// WatchTimeout, or a quarter of DeleteGrace while a known object is missing from the
-// platform's list, so that the feed deletes the object soon after DeleteGrace ends.
-func (f *Feed) nextTimeout() time.Duration {
+// nextTimeout returns how long the next watch may wait for an update. That is WatchTimeout,
+// or less if before that an object that is missing from the platform's list will count as
+// deleted.
+func (f *Feed) nextTimeout(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.missing) > 0 {
-		return f.DeleteGrace / 4
+	timeout := f.WatchTimeout
+	for _, since := range f.missing {
+		timeout = min(timeout, max(f.DeleteGrace-now.Sub(since), 0))
 	}
-	return f.WatchTimeout
+	return timeout
 }
 
 // relist makes the next call of fetch list all objects of the kind, instead of watching
@@ -156,14 +157,16 @@
 // objects.
 func (f *Feed) fetch(ctx context.Context, wait time.Duration) (bool, error) {
 	f.mu.Lock()
-	after := f.watched
+	after, unavailable := f.watched, f.unavailable
 	f.mu.Unlock()
 	if after == 0 {
 		wait = 0
 	}
-	call, cancel := context.WithTimeout(ctx, wait+responseTimeout)
-	defer cancel()
-	page, err := f.platform.Watch(call, f.kind, after, wait)
+	call := f.call
+	if unavailable {
+		call = f.probe
+	}
+	page, err := call(ctx, after, wait)
 	f.logState(err, ctx.Err() != nil)
 	if err != nil {
 		return false, err
@@ -181,6 +184,49 @@
 	return len(page.Objects()) > 0, nil
 }
 
+// call watches the kind on the platform from a version, 0 to list it. The platform waits up
+// to wait for an update.
+func (f *Feed) call(ctx context.Context, after int64, wait time.Duration) (object.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
+	defer cancel()
+	return f.platform.Watch(ctx, f.kind, after, wait)
+}
+
+// probe makes a call every probeInterval, without ending the earlier ones, until one gets a
+// response, and returns that.
+func (f *Feed) probe(ctx context.Context, after int64, wait time.Duration) (object.Page, error) {
+	type response struct {
+		page object.Page
+		err  error
+	}
+	responses := make(chan response)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := time.NewTicker(probeInterval)
+	defer t.Stop()
+	for {
+		calls.Go(func() {
+			page, err := f.call(ctx, after, wait)
+			if errors.Is(err, object.ErrUnknownOutcome) {
+				return
+			}
+			select {
+			case responses <- response{page, err}:
+			case <-ctx.Done():
+			}
+		})
+		select {
+		case r := <-responses:
+			return r.page, r.err
+		case <-t.C:
+		case <-ctx.Done():
+			return object.Page{}, ctx.Err()
+		}
+	}
+}
+
 // logState logs when the platform becomes unavailable and when it is available again. Err
 // is the error of a call to the platform, nil if the call succeeded. Stopping reports
 // whether the feed is stopping, which makes calls fail. logState ignores a call while the
--- a/internal/fleet/feed/objects.go
+++ b/internal/fleet/feed/objects.go
@@ -147,6 +147,7 @@
 	f.mu.Lock()
 	for name, since := range f.missing {
 		if now.Sub(since) >= f.DeleteGrace {
+			delete(f.missing, name)
 			deleted = append(deleted, object.Tombstone(f.kind, name, version))
 			f.logger.WithFields(log.Fields{"kind": f.kind, "name": name, "ms": now.Sub(since).Milliseconds()}).Info("feed: an object stayed missing, it counts as deleted")
 		}
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -49,7 +49,7 @@
 	// deleteGrace is how long an endpoint must be missing from the platform's lists of
 	// endpoints before it counts as deleted. Entries that expired in an outage of the
 	// platform are registered again within two seconds after it.
-	deleteGrace = 2500 * time.Millisecond
+	deleteGrace = 2 * time.Second
 )
 
 // Listeners holds the open TCP listeners of an instance's four servers: for callers, for
