feed: put a deleted object aside that comes back with an older copy of the platform's content

A reported leave is remembered with the endpoint's start time, but a removal was forgotten: what the first list of an era has is newer than all that was known. The feed now puts such an object aside for 5 s, in which the removal is written again or the entry expires (three heartbeats, 3.6 s). An event of a watch ends that at once, as it shows that the object was written anew.

--- a/internal/fleet/feed/doc.go
+++ b/internal/fleet/feed/doc.go
@@ -8,4 +8,8 @@
 // all objects of the kind again. An object that is missing from such a list counts as
 // deleted only after DeleteGrace, since entries that expired while the platform was
 // unavailable are registered again a little later.
+//
+// If the platform comes back from an older copy of its content, an object that was deleted
+// since may be there again. The feed puts it aside for a while, in which it is deleted or
+// written again, unless its writer is gone.
 package feed
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -30,6 +30,10 @@
 	// starts or is updated instance by instance.
 	minBatchDelay = 120 * time.Millisecond
 	maxBatchDelay = 800 * time.Millisecond
+	// restoreGrace is how long a deleted object that came back with an older copy of the
+	// platform's content is put aside. What was written since the copy is written again
+	// before, and entries without a writer expire.
+	restoreGrace = 5 * time.Second
 	// minBackoff and maxBackoff are the first and the longest delay, before jitter,
 	// between a failed call and the next one.
 	minBackoff = 50 * time.Millisecond
@@ -57,20 +61,21 @@
 
 	applying    sync.Mutex // held while objects are stored and applied, so that both have the same order
 	mu          sync.Mutex
-	objects     map[string]object.Object // known objects by name, including deleted ones
-	missing     map[string]time.Time     // when a known object was first missing from a list of the platform, by name
-	watched     int64                    // platform version up to which the feed has all changes; 0 makes the next fetch list all objects
-	listed      bool                     // all objects of the kind were listed at least once
-	changed     chan struct{}            // closed and replaced after each change
-	unavailable bool                     // the last call to the platform failed, other than with object.ErrExpired
-	heardAt     time.Time                // when the platform last responded, zero before the first response
+	objects     map[string]object.Object  // known objects by name, including deleted ones
+	missing     map[string]time.Time      // when a known object was first missing from a list of the platform, by name
+	restored    map[string]restoredObject // objects put aside, by name
+	watched     int64                     // platform version up to which the feed has all changes; 0 makes the next fetch list all objects
+	listed      bool                      // all objects of the kind were listed at least once
+	changed     chan struct{}             // closed and replaced after each change
+	unavailable bool                      // the last call to the platform failed, other than with object.ErrExpired
+	heardAt     time.Time                 // when the platform last responded, zero before the first response
 }
 
 // New returns a feed without objects for the given kind. The caller must set Apply.
 func New(kind string, platform *object.Store, logger log.Interface) *Feed {
 	return &Feed{
 		kind: kind, platform: platform, logger: logger, WatchTimeout: defaultWatchTimeout,
-		objects: map[string]object.Object{}, missing: map[string]time.Time{}, changed: make(chan struct{}),
+		objects: map[string]object.Object{}, missing: map[string]time.Time{}, restored: map[string]restoredObject{}, changed: make(chan struct{}),
 	}
 }
 
@@ -132,7 +137,7 @@
 
 // nextTimeout returns how long the next watch may wait for an update. That is WatchTimeout,
 // or less if before that an object that is missing from the platform's list will count as
-// deleted.
+// deleted, or one that was put aside will be applied.
 func (f *Feed) nextTimeout(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -140,6 +145,9 @@
 	for _, since := range f.missing {
 		timeout = min(timeout, max(f.DeleteGrace-now.Sub(since), 0))
 	}
+	for _, r := range f.restored {
+		timeout = min(timeout, max(restoreGrace-now.Sub(r.since), 0))
+	}
 	return timeout
 }
 
@@ -171,16 +179,20 @@
 	if err != nil {
 		return false, err
 	}
-	f.merge("platform", lastStates(page))
-	if after == 0 {
-		f.noteMissing(page, time.Now())
+	now, list := time.Now(), after == 0
+	if list {
+		f.merge("platform", lastStates(page), copied)
+		f.noteMissing(page, now)
+	} else {
+		f.merge("platform", lastStates(page), written)
 	}
-	f.deleteMissing(page.Version(), time.Now())
+	f.deleteMissing(page.Version(), now)
+	f.acceptRestored(page, list, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.watched = page.Version()
 	f.listed = true
-	f.heardAt = time.Now()
+	f.heardAt = now
 	return len(page.Objects()) > 0, nil
 }
 
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -53,6 +53,18 @@
 	p.compacted = p.version
 }
 
+// restore puts the store back to an older copy of its content, which begins an era and has
+// the named objects.
+func (p *fakeStore) restore(era int64, names []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, name := range names {
+		p.objects[name] = object.New("thing", name, object.VersionIn(era, 6+int64(i)), nil)
+	}
+	p.version = object.VersionIn(era, 10)
+	p.compacted = p.version
+}
+
 // fail makes each further call fail in the given way.
 func (p *fakeStore) fail(o outage) {
 	p.mu.Lock()
@@ -261,11 +273,11 @@
 	both := func() object.Page {
 		return object.NewPage([]object.Object{object.New("thing", "a", 6, nil), object.New("thing", "b", 7, nil)}, 7)
 	}
-	hears.merge("platform", lastStates(both()))
-	away.merge("platform", lastStates(both()))
+	hears.merge("platform", lastStates(both()), copied)
+	away.merge("platform", lastStates(both()), copied)
 	hears.merge("platform", lastStates(object.NewPage([]object.Object{
 		object.Tombstone("thing", "a", 6), object.Tombstone("thing", "b", 7), object.New("thing", "b", 9, nil),
-	}, 10)))
+	}, 10)), written)
 	objects, complete := hears.Since(away.Version())
 	away.MergePeer("peer", objects, complete)
 	if o := away.objects["a"]; !o.Deleted() {
@@ -278,3 +290,36 @@
 		t.Errorf("after the merge the feed has version %d, want %d, that of the peer", away.Version(), hears.Version())
 	}
 }
+
+// TestDeletedObjectIsNotReadyAgainWithAnOlderCopy deletes two objects, then replaces the
+// content by an older copy, which has both. One is deleted again, the other one is not.
+func TestDeletedObjectIsNotReadyAgainWithAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeStore{objects: map[string]object.Object{}, version: 5}
+		names := []string{"again", "stays", "anew"}
+		for i, name := range names {
+			p.set(object.New("thing", name, 6+int64(i), nil))
+		}
+		_, applied := startFeed(t, p, func(f *Feed) { f.WatchTimeout = time.Second })
+		time.Sleep(500 * time.Millisecond)
+		for _, name := range names {
+			p.drop(name)
+		}
+		time.Sleep(2 * time.Second)
+		p.restore(1, names)
+		requireDeleted := func(after time.Duration, want map[string]bool) {
+			t.Helper()
+			time.Sleep(after)
+			for name, deleted := range want {
+				if o, _ := applied(name); o.Deleted() != deleted {
+					t.Errorf("object %s at version %d: deleted is %t, want %t", name, o.Version(), o.Deleted(), deleted)
+				}
+			}
+		}
+		requireDeleted(2*time.Second, map[string]bool{"again": true, "stays": true, "anew": true})
+		p.set(object.New("thing", "anew", object.VersionIn(1, 20), nil))
+		requireDeleted(1500*time.Millisecond, map[string]bool{"again": true, "stays": true, "anew": false})
+		p.drop("again")
+		requireDeleted(3*time.Second, map[string]bool{"again": true, "stays": false, "anew": false})
+	})
+}
--- a/internal/fleet/feed/objects.go
+++ b/internal/fleet/feed/objects.go
@@ -41,7 +41,9 @@
 // that the feed knows. The peer is named as the source in calls of Apply. The last
 // argument, the version up to which the peer's objects are complete, is not used: the
 // feed watches the platform itself.
-func (f *Feed) MergePeer(peer string, objects []object.Object, _ int64) { f.merge(peer, objects) }
+func (f *Feed) MergePeer(peer string, objects []object.Object, _ int64) {
+	f.merge(peer, objects, copied)
+}
 
 // byVersion compares two objects by version, for sorting.
 func byVersion(a, b object.Object) int {
@@ -54,15 +56,29 @@
 	return 0
 }
 
+// evidence says what the version of an object proves about the time at which the object
+// was written.
+type evidence int
+
+const (
+	// written means that the object was written at its version: it comes from the events of
+	// a watch, or the feed has concluded it.
+	written evidence = iota
+	// copied means that the object may have been written before its version, if that is the
+	// first of an era: the platform came back from an older copy of its content, which has
+	// what was deleted since.
+	copied
+)
+
 // merge stores those of the given objects that are newer than the objects that the feed
 // knows, and calls Apply with each of them, in order of version. If there are any, it then
 // closes the channel that Changed returned. Source says where the objects come from:
 // "platform" or a peer's name.
-func (f *Feed) merge(source string, objects []object.Object) {
+func (f *Feed) merge(source string, objects []object.Object, e evidence) {
 	slices.SortFunc(objects, byVersion)
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	updates := f.store(objects)
+	updates := f.store(objects, e)
 	for _, o := range updates {
 		f.Apply(source, o)
 	}
@@ -75,16 +91,23 @@
 }
 
 // store stores those of the given objects that are newer than the known ones, and returns
-// them. They are no longer missing.
-func (f *Feed) store(objects []object.Object) []object.Object {
+// them. They are no longer missing. It puts aside those that may have come back only with
+// an older copy of the platform's content.
+func (f *Feed) store(objects []object.Object, e evidence) []object.Object {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var updates []object.Object
 	for _, o := range objects {
-		if old, ok := f.objects[o.Name()]; ok && !newer(o, old) {
+		old, ok := f.objects[o.Name()]
+		if ok && !newer(o, old) {
+			continue
+		}
+		if e == copied && old.Deleted() && !o.Deleted() && object.EraOf(o.Version()) > object.EraOf(old.Version()) {
+			f.putAside(o, time.Now())
 			continue
 		}
 		delete(f.missing, o.Name())
+		delete(f.restored, o.Name())
 		f.objects[o.Name()] = o
 		updates = append(updates, o)
 	}
@@ -153,5 +176,41 @@
 		}
 	}
 	f.mu.Unlock()
-	f.merge("platform", deleted)
+	f.merge("platform", deleted, written)
+}
+
+// restoredObject is an object that was deleted and came back with an older copy of the
+// platform's content.
+type restoredObject struct {
+	object object.Object
+	since  time.Time
+}
+
+// putAside keeps o, which came back with an older copy of the platform's content, for
+// acceptRestored. The caller holds f.mu.
+func (f *Feed) putAside(o object.Object, now time.Time) {
+	r, ok := f.restored[o.Name()]
+	if !ok {
+		r.since = now
+		f.logger.WithFields(log.Fields{"kind": f.kind, "name": o.Name(), "version": o.Version()}).Info("feed: a deleted object came back with an older copy of the platform's content, put aside for a while")
+	}
+	r.object = o
+	f.restored[o.Name()] = r
+}
+
+// acceptRestored applies the objects that were put aside restoreGrace ago. Page is the
+// platform's last response: if it is a list, those that are missing from it are dropped.
+func (f *Feed) acceptRestored(page object.Page, list bool, now time.Time) {
+	var accepted []object.Object
+	f.mu.Lock()
+	for name, r := range f.restored {
+		switch {
+		case list && !slices.ContainsFunc(page.Objects(), func(o object.Object) bool { return o.Name() == name }):
+			delete(f.restored, name)
+		case now.Sub(r.since) >= restoreGrace:
+			accepted = append(accepted, r.object)
+		}
+	}
+	f.mu.Unlock()
+	f.merge("platform", accepted, written)
 }
