--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -185,10 +186,22 @@
 		x.Logger.WithFields(f).Info("send: answered")
 		return
 	}
-	f["reason"] = reasonOf(err)
+	f["reason"], f["events"], f["parts"] = reasonOf(err), x.relay.events, partIDs(x.request.Parts)
 	x.Logger.WithFields(f).Info("send: failed")
 }
 
+// maxLoggedParts is the largest number of prompt parts that a log line names.
+const maxLoggedParts = 8
+
+// partIDs returns the IDs of the first parts of a prompt, for the log.
+func partIDs(parts []meta.Part) string {
+	var ids []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // attempt sends the request to the endpoint of pk and relays the response. It
 // returns nil if the caller got the complete response. Afterwards it puts a reusable
 // connection back into the pool and closes any other.
