forward/poison: refuse requests with a part of the prompt under which endpoints crash

Cause: what an instance learned from a broken response it booked on the endpoint only, which the picker then avoided, so the next such request went to a sound one. Nothing connected the crashes with each other, at one instance or between them.

A crash is booked on all shared parts of the requests that it broke off before their first event. A part is blocked when three endpoints have crashed under it since a request with it last got an event anywhere, and no other part explains these crashes better (most crashes, then most responses that had begun, then the more specific part). A sign of life of the endpoint within a second voids a crash, and so does a connection that was dead when the request was sent. Instances exchange this in heartbeats, at once when there is news, by ages, so that clocks need not agree. After a minute or two one request is a trial; ten times later each time.

Why this stops it and nothing else: the part that crashes endpoints is in all of the crashes and never gets an event; the parts beside it and those of bystanders get one within a moment, or are in fewer.

--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -92,10 +92,11 @@
 	holder := front.NewHolder(processID, shards, table, peersClient, set, logger)
 	reserver := front.NewReserver(s, holder, shards, table)
 	retryLimits := front.NewRetryLimits(s, table)
-	server := front.NewServer(table, holder, feeds, picker, shards, logger)
+	tracker := front.NewPoison(set, logger)
+	server := front.NewServer(table, holder, feeds, picker, tracker, shards, logger)
 	gossiper := front.NewGossiper(peersClient, server, s, logger)
 	pool := front.NewPool()
-	serveServer := front.NewForwarder(routes, feeds, picker, pool, reserver, retryLimits, set, logger)
+	serveServer := front.NewForwarder(routes, feeds, picker, tracker, pool, reserver, retryLimits, set, logger)
 	deps := front.Deps{
 		Settings:    s,
 		Listeners:   listeners,
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -25,6 +25,7 @@
 	peerwire "jacinthladder.dev/internal/fleet/peers/wire"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/picker"
+	"jacinthladder.dev/internal/forward/poison"
 	"jacinthladder.dev/internal/forward/prepay"
 	"jacinthladder.dev/internal/forward/route"
 	"jacinthladder.dev/internal/forward/serve"
@@ -37,7 +38,7 @@
 // dependencies.
 var ProviderSet = wire.NewSet(
 	node.NewProcessID, Listen, metrics.NewSet, NewClient, NewStore, NewMembers, node.NewClient, NewPicker, NewRoutes,
-	NewFeeds, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewForwarder,
+	NewFeeds, NewPoison, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewForwarder,
 	wire.Struct(new(Deps), "*"), New,
 )
 
@@ -413,13 +414,28 @@
 // other instances do not know the requests that it counted.
 const retryFraction = 0.8
 
+// NewPoison returns the tracker that blocks parts of prompts which crash endpoints. It logs
+// and counts the parts that it blocks.
+func NewPoison(set *metrics.Set, logger log.Interface) *poison.Tracker {
+	blocked := set.GetOrCreateCounter("jacinthladder_prompt_parts_blocked_total")
+	return &poison.Tracker{
+		Blocked: func(part string, crashes int) {
+			blocked.Inc()
+			logger.WithFields(log.Fields{"part": part, "crashes": crashes}).Warn("poison: endpoints crash under a part of prompts, requests with it are refused")
+		},
+		Released: func(part string) {
+			logger.WithField("part", part).Info("poison: a part of prompts is no longer blocked")
+		},
+	}
+}
+
 // NewServer returns the server that handles the calls of peers. It exchanges the
-// configuration, the entries of endpoints and the IDs of endpoints that are leaving with
-// them. When a peer reports an endpoint as leaving, the server marks the endpoint as
+// configuration, the entries of endpoints, the IDs of endpoints that are leaving and what
+// crashes endpoints with them. When a peer reports an endpoint as leaving, the server marks the endpoint as
 // leaving in p.
-func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, shards *ledger.Shards, logger log.Interface) *peers.Server {
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, crashes *poison.Tracker, shards *ledger.Shards, logger log.Interface) *peers.Server {
 	return &peers.Server{
-		Members: t, Holder: h, HandleKeep: shards.Keep,
+		Members: t, Holder: h, HandleKeep: shards.Keep, News: crashes.Changed,
 		Config: peers.ObjectSync{
 			Changed: f.routes.Changed, CompleteVersion: f.routes.Version, Since: f.routes.Since, MergePeer: f.routes.MergePeer,
 		},
@@ -427,12 +443,14 @@
 		LocalHeartbeat: func() *peerwire.BeatNote {
 			n := peers.NewHeartbeat(t, f.routes.Version())
 			n.Registry = f.endpoints.Version()
+			n.Parts = peers.PartsToWire(crashes.Notes(time.Now()))
 			for _, e := range p.Leaving() {
 				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: e.ID, Started: e.StartedAt})
 			}
 			return n
 		},
 		OnHeartbeat: func(n *peerwire.BeatNote) {
+			crashes.Merge(peers.PartsFromWire(n.GetParts()), time.Now())
 			for _, l := range n.GetLeaving() {
 				if p.MarkLeaving(l.GetEndpoint(), l.GetStarted(), time.Now()) {
 					logger.WithFields(log.Fields{"endpoint": l.GetEndpoint(), "source": member.Name(n.GetSelf().GetProcess())}).Info("endpoint: leaving, a peer said so")
@@ -459,9 +477,9 @@
 func NewPool() *conns.Pool { return &conns.Pool{} }
 
 // NewForwarder returns the HTTP handler that forwards callers' requests to endpoints.
-func NewForwarder(routes *Routes, f *Feeds, p *picker.Picker, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
+func NewForwarder(routes *Routes, f *Feeds, p *picker.Picker, crashes *poison.Tracker, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
 	return &serve.Server{
-		Table: routes.Table, Picker: p, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
+		Table: routes.Table, Picker: p, Poison: crashes, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
 		RegistryAge: func() time.Duration { return f.endpoints.Age(time.Now()) },
 		Metrics:     serve.NewMetrics(set), Logger: logger,
 	}
--- a/internal/fleet/peers/gossip.go
+++ b/internal/fleet/peers/gossip.go
@@ -35,8 +35,8 @@
 )
 
 // Gossiper sends heartbeats to a few peers at a time, in rounds at a regular interval. A
-// change of the configuration starts a round at once, so that the change passes from
-// peer to peer without waiting for the interval each time.
+// change of the configuration, or other news of the server, starts a round at once, so that
+// it passes from peer to peer without waiting for the interval each time.
 type Gossiper struct {
 	Client   *Client
 	Server   *Server
@@ -79,19 +79,23 @@
 			early.Stop()
 		}
 		changed := g.Server.Config.Changed()
+		var news <-chan struct{}
+		if g.Server.News != nil {
+			news = g.Server.News()
+		}
 		g.Server.Members.Heartbeat()
 		g.readRoster(ctx)
 		g.Round(ctx)
-		if !g.wait(ctx, tick, changed) {
+		if !g.wait(ctx, tick, changed, news) {
 			return
 		}
 	}
 }
 
 // wait waits until the next round of heartbeats is due: at the next tick or when changed
-// is closed. In the meantime it fetches objects from the queued peers. It returns
+// or news is closed. In the meantime it fetches objects from the queued peers. It returns
 // false if ctx ends first.
-func (g *Gossiper) wait(ctx context.Context, tick <-chan time.Time, changed <-chan struct{}) bool {
+func (g *Gossiper) wait(ctx context.Context, tick <-chan time.Time, changed, news <-chan struct{}) bool {
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,6 +104,8 @@
 			return true
 		case <-changed:
 			return true
+		case <-news:
+			return true
 		case address := <-g.fetchQueue:
 			if err := g.exchange(ctx, address); err != nil {
 				g.Logger.WithError(err).Debug("peers: could not fetch objects from a peer")
--- a/internal/fleet/peers/server.go
+++ b/internal/fleet/peers/server.go
@@ -64,6 +64,10 @@
 	// HandleKeep, if set, remembers ledgers that a peer has written.
 	HandleKeep func(r ledger.Record)
 
+	// News, if set, returns a channel that is closed when a round of heartbeats should start at
+	// once, besides at a change of the configuration.
+	News func() <-chan struct{}
+
 	onNewer func(address string) // called with the address of a peer that has newer objects
 }
 
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -61,9 +61,14 @@
 		if pk == nil {
 			return x.giveUp(nil)
 		}
+		if err := x.checkPrompt(); err != nil {
+			pk.End(picker.Canceled, time.Now())
+			return err
+		}
 		err := x.attempt(ctx, pk)
 		pk.End(x.pickResult(ctx, err), time.Now())
 		x.logAttempt(pk, err)
+		x.noteCrash(ctx, pk, err)
 		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
 			return x.finalError(ctx, err)
 		}
@@ -170,6 +175,9 @@
 	}
 }
 
+// maxLoggedParts is the largest number of prompt parts that a log line names.
+const maxLoggedParts = 8
+
 // logAttempt logs one attempt at the endpoint of pk. The error err of the attempt is
 // nil after a complete response.
 func (x *exchange) logAttempt(pk *picker.Pick, err error) {
@@ -186,27 +194,15 @@
 		x.Logger.WithFields(f).Info("send: answered")
 		return
 	}
-	f["reason"], f["events"], f["parts"] = reasonOf(err), x.relay.events, partIDs(x.request.Parts)
+	f["reason"], f["events"], f["parts"] = reasonOf(err), x.relay.events, strings.Join(x.parts[:min(len(x.parts), maxLoggedParts)], ",")
 	x.Logger.WithFields(f).Info("send: failed")
 }
 
-// maxLoggedParts is the largest number of prompt parts that a log line names.
-const maxLoggedParts = 8
-
-// partIDs returns the IDs of the first parts of a prompt, for the log.
-func partIDs(parts []meta.Part) string {
-	var ids []string
-	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-		ids = append(ids, p.ID)
-	}
-	return strings.Join(ids, ",")
-}
-
 // attempt sends the request to the endpoint of pk and relays the response. It
 // returns nil if the caller got the complete response. Afterwards it puts a reusable
 // connection back into the pool and closes any other.
 func (x *exchange) attempt(ctx context.Context, pk *picker.Pick) error {
-	x.received = receipt{}
+	x.received, x.sentAt = receipt{}, time.Time{}
 	e := pk.Endpoint()
 	conn, err := x.Pool.Get(ctx, e.Address, false)
 	if err != nil {
@@ -224,6 +220,7 @@
 	}()
 	r := x.outgoing(e)
 	x.attempts++
+	x.sentAt = time.Now()
 	ranBefore := x.mayHaveRun
 	x.mayHaveRun = true // undone below if the endpoint reports that it did not run the request
 	if err := conn.Send(r); err != nil {
@@ -268,6 +265,7 @@
 	conn.SetIdleTimeout(header.IdleTimeout)
 	x.received = newReceipt(resp, header)
 	x.noteState(pk)
+	x.Poison.Alive(incarnation(pk), time.Now())
 	if header.NotRun {
 		return x.discard(resp), errNotRun
 	}
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -29,6 +29,7 @@
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
 	"jacinthladder.dev/internal/forward/picker"
+	"jacinthladder.dev/internal/forward/poison"
 	"jacinthladder.dev/internal/forward/prepay"
 	"jacinthladder.dev/internal/forward/route"
 )
@@ -74,6 +75,7 @@
 //	                 the requests that endpoints received
 //	retries N        sets the number of retries allowed in 10 s
 //	budget ACCOUNT   prints the used and reserved tokens of the account's budget
+//	blocked PARTS    prints the part that is blocked of a prompt, two seconds from now
 //	sends            prints the log lines of the attempts at endpoints since the last
 //	                 sends command
 func runScript(t *testing.T, file string) {
@@ -101,6 +103,9 @@
 		case "budget":
 			s := f.reserver.Stats(f.table.AccountByKey("key-" + d.CmdArgs[0].Key))
 			return fmt.Sprintf("used %d reserved %d\n", s.Used(), s.Reserved())
+		case "blocked":
+			part, _ := f.server.Poison.Check(strings.Split(d.CmdArgs[0].Key, "/"), time.Now().Add(2*time.Second))
+			return fmt.Sprintf("%q\n", part)
 		case "sends":
 			return f.takeSends()
 		}
@@ -139,7 +144,7 @@
 	retries.SetLimit(0, 100)
 	f.retries = retries
 	f.server = &Server{
-		Table: func() *route.Table { return f.table }, Picker: picker.NewPicker("ikeja"), Pool: &conns.Pool{}, Reserver: f.reserver,
+		Table: func() *route.Table { return f.table }, Picker: picker.NewPicker("ikeja"), Poison: &poison.Tracker{}, Pool: &conns.Pool{}, Reserver: f.reserver,
 		Retries: func(string) *retry.Window { return retries }, Codec: meta.Native(),
 		Metrics: NewMetrics(metrics.NewSet()), Logger: &log.Logger{Handler: f.logs},
 	}
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -17,6 +17,7 @@
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
 	"jacinthladder.dev/internal/forward/picker"
+	"jacinthladder.dev/internal/forward/poison"
 	"jacinthladder.dev/internal/forward/prepay"
 	"jacinthladder.dev/internal/forward/route"
 )
@@ -44,6 +45,7 @@
 	// Table returns the configuration in force, or nil if this instance has none yet.
 	Table    func() *route.Table
 	Picker   *picker.Picker
+	Poison   *poison.Tracker // nil blocks nothing
 	Pool     *conns.Pool
 	Reserver *prepay.Reserver
 	// Retries returns the window that counts the requests to a service and limits
@@ -77,6 +79,7 @@
 	account      *route.Account // nil if the request has no known API key
 	service      *route.Service
 	request      meta.Request // metadata of the request
+	parts        []string     // IDs of the prompt's parts, in order
 	body         []byte       // body of the request, read completely
 	declaresBody bool         // the caller declares a body by Content-Length or Transfer-Encoding
 	hold         escrow.Hold  // reservation of the request's tokens, if hasHold
@@ -84,12 +87,13 @@
 	billedTokens int64     // tokens spent by the request, set when the reservation is settled
 	deadline     time.Time // time by which the response must be complete
 
-	attempts   int      // number of endpoints to which the request, or a part of it, may have been sent
-	tried      []string // IDs of the endpoints that were tried and are not picked again
-	mayHaveRun bool     // the request may have run at an endpoint
-	relay      *relay   // writes the response to the caller
-	lastErr    error    // error of the last failed attempt
-	received   receipt  // describes the response of the current attempt
+	attempts   int       // number of endpoints to which the request, or a part of it, may have been sent
+	tried      []string  // IDs of the endpoints that were tried and are not picked again
+	mayHaveRun bool      // the request may have run at an endpoint
+	relay      *relay    // writes the response to the caller
+	lastErr    error     // error of the last failed attempt
+	sentAt     time.Time // when the current attempt was sent, zero before
+	received   receipt   // describes the response of the current attempt
 }
 
 // ServeHTTP forwards one request to an endpoint and relays the response, or sends a
@@ -122,6 +126,9 @@
 	}
 	request, err := x.Codec.DecodeRequest(x.r.Header)
 	x.request = request
+	for _, p := range request.Parts {
+		x.parts = append(x.parts, p.ID)
+	}
 	if err != nil {
 		return refuse(BadRequest, "%s", err)
 	}
