forward/conns: cut off the header of a response that does not end

What callers would see: an instance out of memory. An endpoint in trouble may send bytes that are no response without end, in a header or a body. Cause: the header of a response was read without a limit; only the time-out of the request ended it.

--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -26,7 +26,8 @@
 type Conn struct {
 	address     string // address of the endpoint, by which the pool lists the connection
 	nc          net.Conn
-	br          *bufio.Reader
+	limit       *headerLimit
+	br          *bufio.Reader // reads from nc through limit
 	idleSince   time.Time     // when the connection was last put into the pool
 	idleTimeout time.Duration // how long the connection may stay idle in the pool
 	reused      bool          // the connection has served a request before
@@ -36,7 +37,8 @@
 }
 
 func newConn(address string, nc net.Conn) *Conn {
-	return &Conn{address: address, nc: nc, br: bufio.NewReader(nc), idleTimeout: defaultIdleTimeout}
+	limit := &headerLimit{reader: nc}
+	return &Conn{address: address, nc: nc, limit: limit, br: bufio.NewReader(limit), idleTimeout: defaultIdleTimeout}
 }
 
 // Reused reports whether the connection has served a request before.
@@ -100,7 +102,9 @@
 // request on the connection, so the caller checks which request it answers.
 func (c *Conn) ReadResponse(r *Request) (*http.Response, error) {
 	for range maxResponses {
+		c.limit.start()
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		c.limit.stop()
 		if err != nil {
 			return nil, errors.Wrap(err, "conns: read the header of the endpoint's response")
 		}
--- a/internal/forward/conns/conns_test.go
+++ b/internal/forward/conns/conns_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -94,3 +96,59 @@
 		t.Error("Get returned the connection that received bytes while it was idle, want a new one")
 	}
 }
+
+// Endpoints that send bytes without end must not make an instance read them all.
+func TestEndlessHeaderIsCutOff(t *testing.T) {
+	const maxRead = 4 << 20 // bytes, with what is under way on the connection
+	for name, text := range map[string]string{
+		"one line": "x", "header lines": "X-Name: value\r\n", "interim responses": "HTTP/1.1 100 Continue\r\n\r\n", "empty lines": "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ours, theirs := net.Pipe()
+			t.Cleanup(func() { ours.Close() })
+			sent := make(chan int, 1)
+			go func() {
+				n := 0
+				defer func() { sent <- n }()
+				if name != "interim responses" && name != "empty lines" {
+					io.WriteString(theirs, "HTTP/1.1 200 OK\r\n")
+				}
+				for block := strings.Repeat(text, 4096); n < 4*maxRead; n += len(block) {
+					if _, err := io.WriteString(theirs, block); err != nil {
+						return
+					}
+				}
+			}()
+			c := newConn("", ours)
+			if _, err := c.ReadResponse(&Request{Method: "GET"}); err == nil {
+				t.Error("ReadResponse accepted a header without end, want an error")
+			}
+			c.Close()
+			if n := <-sent; n > maxRead {
+				t.Errorf("%d bytes of a header without end were read, want at most %d", n, maxRead)
+			}
+		})
+	}
+}
+
+// A response may follow a long one on the same connection.
+func TestHeaderLimitIsThatOfOneHeader(t *testing.T) {
+	ours, theirs := net.Pipe()
+	t.Cleanup(func() { ours.Close() })
+	const responses, bodyBytes = 3, 2 << 20
+	go func() {
+		for range responses {
+			fmt.Fprintf(theirs, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("b", bodyBytes))
+		}
+	}()
+	c := newConn("", ours)
+	for range responses {
+		resp, err := c.ReadResponse(&Request{Method: "GET"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != bodyBytes {
+			t.Fatalf("read %d bytes of a body, error %v, want %d", n, err, bodyBytes)
+		}
+	}
+}
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -63,12 +63,16 @@
 	}
 }
 
+func TestBodyWithoutEndIsCutOff(t *testing.T) {
+	runScript(t, "testdata/broken/endless")
+}
+
 // runScript runs one script. A script defines the responses of endpoints and shows the
 // responses that callers get. The commands are:
 //
 //	endpoint ID      starts an endpoint; each line is the response to one request,
 //	                 in order, with the steps write "TEXT", fill BYTES, wait TIME,
-//	                 reset, close
+//	                 flood (bytes until the connection is closed), reset, close
 //	gone ID          removes the endpoint from the picker
 //	table            sets the configuration: route, account and limits lines
 //	request          sends the HTTP request in the input; prints the response and
@@ -275,6 +279,11 @@
 			case strings.HasPrefix(step, "wait "):
 				d, _ := time.ParseDuration(strings.TrimPrefix(step, "wait "))
 				time.Sleep(d)
+			case step == "flood":
+				for err == nil {
+					_, err = nc.Write(bytes.Repeat([]byte("x"), 1<<16))
+				}
+				return
 			case step == "reset":
 				nc.(*net.TCPConn).SetLinger(0)
 				return
