--- /dev/null
+++ b/internal/fleet/front/feeds.go
@@ -0,0 +1,101 @@
+package front
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/feed"
+	"jacinthladder.dev/internal/forward/picker"
+	"jacinthladder.dev/internal/forward/route"
+	"jacinthladder.dev/internal/plat/object"
+	"jacinthladder.dev/platform"
+)
+
+// deleteGrace is how long an endpoint must be missing from the platform's lists of
+// endpoints before it counts as deleted. Entries that expired in an outage of the
+// platform are registered again within two seconds after it.
+const deleteGrace = 2 * time.Second
+
+// Routes holds the routing table in force. Each later version of the configuration
+// replaces the table.
+type Routes struct {
+	table atomic.Pointer[route.Table]
+}
+
+// NewRoutes returns Routes that hold no routing table until a configuration is applied.
+func NewRoutes() *Routes { return &Routes{} }
+
+// Table returns the routing table in force, nil before the first configuration.
+func (r *Routes) Table() *route.Table { return r.table.Load() }
+
+// Feeds holds the two change feeds through which an instance follows the platform's
+// objects: the configuration with the routes, and the endpoint registry.
+type Feeds struct{ routes, endpoints *feed.Feed }
+
+// NewFeeds returns feeds that apply each change of the configuration to r and p, and each
+// change of an endpoint's registry entry to p. A feed watches the platform only while its
+// method Run runs.
+func NewFeeds(s *setup.Settings, store *object.Store, r *Routes, p *picker.Picker, logger log.Interface) *Feeds {
+	f := &Feeds{
+		routes:    feed.New(platform.RoutesKind, store, logger),
+		endpoints: feed.New(platform.EndpointsKind, store, logger),
+	}
+	f.routes.WatchTimeout, f.endpoints.WatchTimeout = time.Duration(s.Forward().WatchTimeout), time.Duration(s.Forward().WatchTimeout)
+	f.routes.Apply = func(source string, o object.Object) { applyRoutes(source, o, r, p, logger) }
+	f.endpoints.DeleteGrace = deleteGrace
+	f.endpoints.Apply = func(source string, o object.Object) { applyEndpoint(source, o, p, logger) }
+	return f
+}
+
+// applyRoutes puts the version of the configuration in the object o in force: its routing
+// table in r, and the KV cache sizes of its services in p. It ignores and logs a version
+// that is invalid or older than the one in force. Source says in the log where o comes
+// from: "platform" or a peer's name. Objects of another name, and the deletion of the
+// configuration, are ignored.
+func applyRoutes(source string, o object.Object, r *Routes, p *picker.Picker, logger log.Interface) {
+	if o.Name() != platform.ConfigName || o.Deleted() {
+		return
+	}
+	l := logger.WithFields(log.Fields{"source": source, "rev": o.Version()})
+	t, err := platform.DecodeConfig(o)
+	if err != nil {
+		l.WithError(err).Error("config: rejected an invalid version of the configuration")
+		return
+	}
+	if old := r.Table(); old != nil && old.Version() > t.Version() {
+		l.WithField("version", t.Version()).WithField("inforce", old.Version()).Warn("config: ignored a version of the configuration older than the one in force")
+		return
+	}
+	for _, s := range t.Services() {
+		if s.Engine != nil {
+			p.SetKVTokens(s.Name, s.Engine.KVTokens)
+		}
+	}
+	r.table.Store(t)
+	l.WithField("version", t.Version()).Info("config: applied a version of the configuration")
+}
+
+// applyEndpoint applies a changed entry of the endpoint registry, the object o, to p. It
+// removes the endpoint from p if the entry was deleted or cannot be decoded. Source says
+// in the log where the entry comes from: "platform" or a peer's name.
+func applyEndpoint(source string, o object.Object, p *picker.Picker, logger log.Interface) {
+	l := logger.WithFields(log.Fields{"source": source, "rev": o.Version(), "endpoint": o.Name()})
+	if o.Deleted() {
+		if p.Remove(o.Name()) {
+			l.Info("endpoint: gone")
+		}
+		return
+	}
+	e, err := platform.DecodeEndpoint(o)
+	if err != nil {
+		p.Remove(o.Name())
+		l.WithError(err).Warn("endpoint: removed, its registry entry could not be decoded")
+		return
+	}
+	if p.Update(e, time.Now()) {
+		l.WithFields(log.Fields{"service": e.Service, "zone": e.Zone, "leaving": e.Leaving, "started": e.StartedAt}).Info("endpoint: changed, applied its new registry entry")
+	}
+}
--- /dev/null
+++ b/internal/fleet/front/peers.go
@@ -0,0 +1,78 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"jacinthladder.dev/coord/escrow"
+	"jacinthladder.dev/coord/member"
+	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/ledger"
+	"jacinthladder.dev/internal/fleet/peers"
+	peerwire "jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/forward/picker"
+	"jacinthladder.dev/internal/forward/poison"
+	"jacinthladder.dev/internal/plat/roster"
+)
+
+// NewPoison returns the tracker that blocks parts of prompts which crash endpoints. It logs
+// and counts the parts that it blocks.
+func NewPoison(set *metrics.Set, logger log.Interface) *poison.Tracker {
+	blocked := set.GetOrCreateCounter("jacinthladder_prompt_parts_blocked_total")
+	return &poison.Tracker{
+		Blocked: func(part string, crashes int) {
+			blocked.Inc()
+			logger.WithFields(log.Fields{"part": part, "crashes": crashes}).Warn("poison: endpoints crash under a part of prompts, requests with it are refused")
+		},
+		Released: func(part string) {
+			logger.WithField("part", part).Info("poison: a part of prompts is no longer blocked")
+		},
+	}
+}
+
+// NewServer returns the server that handles the calls of peers. It exchanges the
+// configuration, the entries of endpoints, the IDs of endpoints that are leaving and what
+// crashes endpoints with them. When a peer reports an endpoint as leaving, the server marks the endpoint as
+// leaving in p.
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, crashes *poison.Tracker, shards *ledger.Shards, logger log.Interface) *peers.Server {
+	return &peers.Server{
+		Members: t, Holder: h, HandleKeep: shards.Keep, News: crashes.Changed,
+		Config: peers.ObjectSync{
+			Changed: f.routes.Changed, CompleteVersion: f.routes.Version, Since: f.routes.Since, MergePeer: f.routes.MergePeer,
+		},
+		Registry: &peers.ObjectSync{CompleteVersion: f.endpoints.Version, Since: f.endpoints.Since, MergePeer: f.endpoints.MergePeer},
+		LocalHeartbeat: func() *peerwire.BeatNote {
+			n := peers.NewHeartbeat(t, f.routes.Version())
+			n.Registry = f.endpoints.Version()
+			n.Parts = peers.PartsToWire(crashes.Notes(time.Now()))
+			for _, e := range p.Leaving() {
+				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: e.ID, Started: e.StartedAt})
+			}
+			return n
+		},
+		OnHeartbeat: func(n *peerwire.BeatNote) {
+			crashes.Merge(peers.PartsFromWire(n.GetParts()), time.Now())
+			for _, l := range n.GetLeaving() {
+				if p.MarkLeaving(l.GetEndpoint(), l.GetStarted(), time.Now()) {
+					logger.WithFields(log.Fields{"endpoint": l.GetEndpoint(), "source": member.Name(n.GetSelf().GetProcess())}).Info("endpoint: leaving, a peer said so")
+				}
+			}
+		},
+	}
+}
+
+// NewGossiper returns a gossiper that sends heartbeats to peers. Instead of the platform's
+// instance list it uses the seeds, the peer addresses in the settings.
+func NewGossiper(c *peers.Client, server *peers.Server, s *setup.Settings, logger log.Interface) *peers.Gossiper {
+	seeds := &roster.Source{Read: func(context.Context) ([]roster.Entry, error) {
+		var entries []roster.Entry
+		for _, a := range s.Forward().Seeds {
+			entries = append(entries, roster.Entry{Address: a})
+		}
+		return entries, nil
+	}}
+	return peers.NewGossiper(c, server, seeds, s.HeartbeatInterval(), logger)
+}
