--- a/internal/forward/poison/tracker.go
+++ b/internal/forward/poison/tracker.go
@@ -32,6 +32,9 @@
 	// the crashes in each.
 	maxRecords = 512
 	maxCrashes = 32
+	// maxNameLength is the largest length of a part's ID in bytes. A longer one is replaced by
+	// its hash.
+	maxNameLength = 64
 )
 
 // Endpoint identifies one start of an endpoint.
@@ -107,6 +110,14 @@
 // shared returns the parts of a prompt that other requests may share: all but the last.
 func shared(parts []string) []string { return parts[:max(len(parts)-1, 0)] }
 
+// nameOf returns the name under which the tracker records a part with the given ID.
+func nameOf(id string) string {
+	if len(id) <= maxNameLength {
+		return id
+	}
+	return strconv.FormatUint(xxhash.Sum64String(id), 16)
+}
+
 // Crash records that an endpoint broke off a request with the given parts before the first
 // event, as it does when it crashes. Begun reports whether the response had begun.
 func (t *Tracker) Crash(e Endpoint, parts []string, begun bool, now time.Time) {
@@ -115,8 +126,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i, part := range shared(parts) {
-		if r := t.recordOf(part, now); r != nil {
+	for i, id := range shared(parts) {
+		if r := t.recordOf(nameOf(id), now); r != nil {
 			r.position = max(r.position, i)
 			t.add(r, e.key(), crash{at: now, begun: begun})
 		}
@@ -182,8 +193,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range shared(parts) {
-		if r := t.records[part]; r != nil && t.clear(r, now) {
+	for _, id := range shared(parts) {
+		if r := t.records[nameOf(id)]; r != nil && t.clear(r, now) {
 			t.notify()
 		}
 	}
@@ -244,15 +255,16 @@
 	defer t.mu.Unlock()
 	t.review(now)
 	var due []*record
-	for _, p := range shared(parts) {
-		r := t.records[p]
+	for _, id := range shared(parts) {
+		name := nameOf(id)
+		r := t.records[name]
 		if r == nil || !r.blocked {
 			continue
 		}
 		r.askedAt = now
 		if left := r.trialDue().Sub(now); left > 0 {
 			if left > wait {
-				part, wait = p, left
+				part, wait = name, left
 			}
 			continue
 		}
