forward/poison: keep the crashes of a part for which requests still come

Cause: whether old crashes were forgotten followed from this instance's own verdict, which it had not reached yet, so it forgot what it had just been told; the peer told it again, that was news, and news starts a round of heartbeats. It follows from the time of the last request with the part now, which notes carry. Found when reading the change again.

--- a/internal/forward/poison/poison_test.go
+++ b/internal/forward/poison/poison_test.go
@@ -83,3 +83,25 @@
 		}
 	}
 }
+
+func TestRepeatedNotesOfOldCrashesAreNoNews(t *testing.T) {
+	p := newPlay()
+	for _, line := range []string{
+		"1 a crash e0 x,bad,q0", "1.5 a alive e0", "1 a crash e1 x,bad,q1", "1 a crash e2 x,bad,q2", "1 a crash e3 x,bad,q3",
+		"3 a ask x,bad,q4", "500 a ask x,bad,q5", "900 a ask x,bad,q6", "901 gossip", "902 gossip",
+	} {
+		p.run(t, strings.Fields(line))
+	}
+	news := map[string]<-chan struct{}{}
+	for name, tracker := range p.trackers {
+		news[name] = tracker.Changed()
+	}
+	p.run(t, strings.Fields("903 gossip"))
+	for name, c := range news {
+		select {
+		case <-c:
+			t.Errorf("instance %s has news after notes that it had got before, want none: each starts a round of heartbeats", name)
+		default:
+		}
+	}
+}
--- a/internal/forward/poison/review.go
+++ b/internal/forward/poison/review.go
@@ -31,7 +31,9 @@
 	}
 }
 
-// prune forgets crashes, signs of life and records that are too old. The caller holds t.mu.
+// prune forgets crashes, signs of life and records that are too old. It keeps the record of a
+// part that was blocked at the last request with it, at whichever instance that was. The
+// caller holds t.mu.
 func (t *Tracker) prune(now time.Time) {
 	for key, at := range t.unsettled {
 		if now.Sub(at) > settleTime {
@@ -39,7 +41,7 @@
 		}
 	}
 	for part, r := range t.records {
-		if r.blocked && now.Sub(r.askedAt) < evidenceTTL {
+		if now.Sub(r.askedAt) < evidenceTTL {
 			continue
 		}
 		for key, c := range r.crashes {
