--- a/internal/fleet/feed/objects.go
+++ b/internal/fleet/feed/objects.go
@@ -208,6 +208,7 @@
 		case list && !slices.ContainsFunc(page.Objects(), func(o object.Object) bool { return o.Name() == name }):
 			delete(f.restored, name)
 		case now.Sub(r.since) >= restoreGrace:
+			delete(f.restored, name)
 			accepted = append(accepted, r.object)
 		}
 	}
