--- a/internal/fleet/front/peers.go
+++ b/internal/fleet/front/peers.go
@@ -35,8 +35,8 @@
 
 // NewServer returns the server that handles the calls of peers. It exchanges the
 // configuration, the entries of endpoints, the IDs of endpoints that are leaving and what
-// crashes endpoints with them. When a peer reports an endpoint as leaving, the server marks the endpoint as
-// leaving in p.
+// crashes endpoints with them. When a peer reports an endpoint as leaving, the server marks
+// the endpoint as leaving in p.
 func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, crashes *poison.Tracker, shards *ledger.Shards, logger log.Interface) *peers.Server {
 	return &peers.Server{
 		Members: t, Holder: h, HandleKeep: shards.Keep, News: crashes.Changed,
--- a/internal/forward/poison/poison_test.go
+++ b/internal/forward/poison/poison_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"jacinthladder.dev/internal/forward/meta"
 )
 
 // TestScripts runs the scripts in testdata. Each line of a play is an event at a time in
@@ -58,13 +60,13 @@
 	tracker, rest := p.trackers[words[1]], words[3:]
 	switch words[2] {
 	case "crash":
-		tracker.Crash(Endpoint{ID: rest[0]}, strings.Split(rest[1], ","), slices.Contains(rest, "begun"), now)
+		tracker.Crash(Endpoint{ID: rest[0]}, partsOf(rest[1]), slices.Contains(rest, "begun"), now)
 	case "sound":
-		tracker.Sound(strings.Split(rest[0], ","), now)
+		tracker.Sound(partsOf(rest[0]), now)
 	case "alive":
 		tracker.Alive(Endpoint{ID: rest[0]}, now)
 	case "ask":
-		part, wait := tracker.Check(strings.Split(rest[0], ","), now)
+		part, wait := tracker.Check(partsOf(rest[0]), now)
 		if part == "" {
 			fmt.Fprintf(&p.out, "%s %s: let through\n", words[0], words[1])
 			return
@@ -75,6 +77,15 @@
 	}
 }
 
+// partsOf returns the parts of a prompt with the given IDs, separated by commas.
+func partsOf(ids string) []meta.Part {
+	var parts []meta.Part
+	for _, id := range strings.Split(ids, ",") {
+		parts = append(parts, meta.Part{ID: id})
+	}
+	return parts
+}
+
 // gossip passes the notes of each instance to all others.
 func (p *play) gossip(now time.Time) {
 	for _, from := range []string{"a", "b", "c"} {
--- a/internal/forward/poison/tracker.go
+++ b/internal/forward/poison/tracker.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jacinthladder.dev/internal/forward/meta"
 )
 
 const (
@@ -108,26 +110,26 @@
 }
 
 // shared returns the parts of a prompt that other requests may share: all but the last.
-func shared(parts []string) []string { return parts[:max(len(parts)-1, 0)] }
+func shared(parts []meta.Part) []meta.Part { return parts[:max(len(parts)-1, 0)] }
 
-// nameOf returns the name under which the tracker records a part with the given ID.
-func nameOf(id string) string {
-	if len(id) <= maxNameLength {
-		return id
+// nameOf returns the name under which the tracker records a part.
+func nameOf(p meta.Part) string {
+	if len(p.ID) <= maxNameLength {
+		return p.ID
 	}
-	return strconv.FormatUint(xxhash.Sum64String(id), 16)
+	return strconv.FormatUint(xxhash.Sum64String(p.ID), 16)
 }
 
 // Crash records that an endpoint broke off a request with the given parts before the first
 // event, as it does when it crashes. Begun reports whether the response had begun.
-func (t *Tracker) Crash(e Endpoint, parts []string, begun bool, now time.Time) {
+func (t *Tracker) Crash(e Endpoint, parts []meta.Part, begun bool, now time.Time) {
 	if t == nil || len(parts) < 2 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i, id := range shared(parts) {
-		if r := t.recordOf(nameOf(id), now); r != nil {
+	for i, p := range shared(parts) {
+		if r := t.recordOf(nameOf(p), now); r != nil {
 			r.position = max(r.position, i)
 			t.add(r, e.key(), crash{at: now, begun: begun})
 		}
@@ -187,14 +189,14 @@
 
 // Sound records that a request with the given parts got its first event, so that none of
 // them crashes endpoints.
-func (t *Tracker) Sound(parts []string, now time.Time) {
+func (t *Tracker) Sound(parts []meta.Part, now time.Time) {
 	if t == nil || t.size.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range shared(parts) {
-		if r := t.records[nameOf(id)]; r != nil && t.clear(r, now) {
+	for _, p := range shared(parts) {
+		if r := t.records[nameOf(p)]; r != nil && t.clear(r, now) {
 			t.notify()
 		}
 	}
@@ -247,7 +249,7 @@
 
 // Check returns the part of a prompt that is blocked, if there is one, and the time until
 // its next trial. If a trial is due, the request is it, and the part counts as not blocked.
-func (t *Tracker) Check(parts []string, now time.Time) (part string, wait time.Duration) {
+func (t *Tracker) Check(parts []meta.Part, now time.Time) (part string, wait time.Duration) {
 	if t == nil || t.size.Load() == 0 {
 		return "", 0
 	}
@@ -255,8 +257,8 @@
 	defer t.mu.Unlock()
 	t.review(now)
 	var due []*record
-	for _, id := range shared(parts) {
-		name := nameOf(id)
+	for _, p := range shared(parts) {
+		name := nameOf(p)
 		r := t.records[name]
 		if r == nil || !r.blocked {
 			continue
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -178,6 +178,15 @@
 // maxLoggedParts is the largest number of prompt parts that a log line names.
 const maxLoggedParts = 8
 
+// partIDs returns the IDs of the first parts of a prompt, for the log.
+func partIDs(parts []meta.Part) string {
+	var ids []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // logAttempt logs one attempt at the endpoint of pk. The error err of the attempt is
 // nil after a complete response.
 func (x *exchange) logAttempt(pk *picker.Pick, err error) {
@@ -194,7 +203,7 @@
 		x.Logger.WithFields(f).Info("send: answered")
 		return
 	}
-	f["reason"], f["events"], f["parts"] = reasonOf(err), x.relay.events, strings.Join(x.parts[:min(len(x.parts), maxLoggedParts)], ",")
+	f["reason"], f["events"], f["parts"] = reasonOf(err), x.relay.events, partIDs(x.request.Parts)
 	x.Logger.WithFields(f).Info("send: failed")
 }
 
--- a/internal/forward/serve/crash.go
+++ b/internal/forward/serve/crash.go
@@ -23,7 +23,7 @@
 
 // checkPrompt returns the final error of the request if a part of its prompt is blocked.
 func (x *exchange) checkPrompt() error {
-	part, wait := x.Poison.Check(x.parts, time.Now())
+	part, wait := x.Poison.Check(x.request.Parts, time.Now())
 	if part == "" {
 		return nil
 	}
@@ -49,9 +49,9 @@
 		if x.received.status == 0 && now.Sub(x.sentAt) < minServiceTime {
 			return // the connection was dead, or could not be used
 		}
-		x.Poison.Crash(incarnation(pk), x.parts, x.received.status != 0, now)
+		x.Poison.Crash(incarnation(pk), x.request.Parts, x.received.status != 0, now)
 	case err == nil, errors.Is(err, errFailed):
-		x.Poison.Sound(x.parts, now)
+		x.Poison.Sound(x.request.Parts, now)
 	}
 }
 
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -108,7 +108,11 @@
 			s := f.reserver.Stats(f.table.AccountByKey("key-" + d.CmdArgs[0].Key))
 			return fmt.Sprintf("used %d reserved %d\n", s.Used(), s.Reserved())
 		case "blocked":
-			part, _ := f.server.Poison.Check(strings.Split(d.CmdArgs[0].Key, "/"), time.Now().Add(2*time.Second))
+			var parts []meta.Part
+			for _, id := range strings.Split(d.CmdArgs[0].Key, "/") {
+				parts = append(parts, meta.Part{ID: id})
+			}
+			part, _ := f.server.Poison.Check(parts, time.Now().Add(2*time.Second))
 			return fmt.Sprintf("%q\n", part)
 		case "sends":
 			return f.takeSends()
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -79,7 +79,6 @@
 	account      *route.Account // nil if the request has no known API key
 	service      *route.Service
 	request      meta.Request // metadata of the request
-	parts        []string     // IDs of the prompt's parts, in order
 	body         []byte       // body of the request, read completely
 	declaresBody bool         // the caller declares a body by Content-Length or Transfer-Encoding
 	hold         escrow.Hold  // reservation of the request's tokens, if hasHold
@@ -126,9 +125,6 @@
 	}
 	request, err := x.Codec.DecodeRequest(x.r.Header)
 	x.request = request
-	for _, p := range request.Parts {
-		x.parts = append(x.parts, p.ID)
-	}
 	if err != nil {
 		return refuse(BadRequest, "%s", err)
 	}
