forward/serve: accept a refusal only if it names the request

Cause: a response without an ID counted as this request's if it said that the request did not run. A faulty endpoint that writes an earlier refusal again on a kept connection so made a request that ran be refused with 503, or run at a second endpoint. Ruled out: that the pool returns connections with bytes waiting (late repeats with an ID were discarded).

Change: only a response that names the request's ID belongs to it; after any other one the connection serves no further request; a second attempt at an address uses a new connection; a foreign response that ends with its connection isn't read.

TestSecondAttemptAtAnAddressUsesANewConnection fails without its line.

--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -31,7 +31,7 @@
 	idleSince   time.Time     // when the connection was last put into the pool
 	idleTimeout time.Duration // how long the connection may stay idle in the pool
 	reused      bool          // the connection has served a request before
-	closing     bool          // the endpoint closes the connection after the response
+	closing     bool          // the connection is closed after the response, by the endpoint or by Retire
 	unread      bool          // the body of the last response was not read to its end
 	bodyResult  chan error    // receives the result of a background write of the body; nil if there is none
 }
@@ -44,6 +44,10 @@
 // Reused reports whether the connection has served a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Retire makes Pool.Put close the connection, because the endpoint has sent a response on it
+// that belongs to no request or to another one.
+func (c *Conn) Retire() { c.closing = true }
+
 // Close closes the connection. It may be called while another method runs, which
 // then fails.
 func (c *Conn) Close() {
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -215,7 +216,11 @@
 func (x *exchange) attempt(ctx context.Context, pk *picker.Pick) error {
 	x.received, x.sentAt = receipt{}, time.Time{}
 	e := pk.Endpoint()
-	conn, err := x.Pool.Get(ctx, e.Address, false)
+	// A response to an earlier attempt of this request names its ID too, so it must not arrive
+	// on the connection of this one.
+	fresh := slices.Contains(x.addresses, e.Address)
+	x.addresses = append(x.addresses, e.Address)
+	conn, err := x.Pool.Get(ctx, e.Address, fresh)
 	if err != nil {
 		return errors.CombineErrors(errNotConnected, err)
 	}
@@ -302,29 +307,43 @@
 	}
 }
 
-// maxStaleResponses is the largest number of responses that readHeader reads from a
-// connection in search of the response to this request. Responses to other requests,
-// which arrive late, are counted.
-const maxStaleResponses = 3
+// maxForeignResponses is the largest number of responses that readHeader reads from a
+// connection in search of the response to this request.
+const maxForeignResponses = 3
 
 // readHeader returns the response to this request, whose body is not read yet, and
-// the metadata in its header. It discards late responses to other requests. A
-// response without a request ID is accepted only if it reports that the request did
-// not run.
+// the metadata in its header. Only a response that names the ID of this request belongs
+// to it. Any other one, also one that says that a request did not run, may have been written
+// for an earlier request on the connection: it is discarded, and the connection serves no
+// further request.
 func (x *exchange) readHeader(conn *conns.Conn, r *conns.Request) (*http.Response, meta.Response, error) {
-	for range maxStaleResponses {
+	for range maxForeignResponses {
 		resp, err := conn.ReadResponse(r)
 		if err != nil {
 			return nil, meta.Response{}, incomplete(err)
 		}
 		header := x.Codec.DecodeResponse(resp.StatusCode, resp.Header)
-		if header.ID == x.request.ID || header.ID == "" && header.NotRun {
+		if header.ID == x.request.ID {
 			return resp, header, nil
 		}
-		x.Logger.WithFields(log.Fields{"request": x.request.ID, "other": header.ID}).Warn("send: discarding a response to another request")
-		if !x.discard(resp) {
+		conn.Retire()
+		x.Metrics.foreignResponse(x.service.Name)
+		x.Logger.WithFields(log.Fields{
+			"request": x.request.ID, "other": limitText(header.ID), "status": resp.StatusCode, "notrun": header.NotRun, "reused": conn.Reused(),
+		}).Warn("send: discarding a response that does not name the request")
+		if !x.mayFollow(conn, resp, header) {
 			break
 		}
 	}
-	return nil, meta.Response{}, errors.WithMessage(errIncomplete, "the endpoint sent responses to other requests")
+	return nil, meta.Response{}, errors.WithMessage(errIncomplete, "the endpoint sent responses that do not name the request")
+}
+
+// mayFollow reports whether the response to this request may follow a foreign one on the
+// connection, whose body it discards. On a new connection, a response without an ID takes the
+// place of the response to this request, because there is no earlier one.
+func (x *exchange) mayFollow(conn *conns.Conn, resp *http.Response, header meta.Response) bool {
+	if conns.FramingOf(resp) == conns.ByClose || !conn.Reused() && header.ID == "" {
+		return false
+	}
+	return x.discard(resp)
 }
--- a/internal/forward/serve/metrics.go
+++ b/internal/forward/serve/metrics.go
@@ -41,6 +41,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jacinthladder_endpoint_connections_total{reused=\"%t\"}", reused)).Inc()
 }
 
+// foreignResponse counts a response of an endpoint of a service that does not name the request
+// that was sent last on its connection.
+func (m *Metrics) foreignResponse(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jacinthladder_endpoint_foreign_responses_total{service=%q}", service)).Inc()
+}
+
 // bodyEnded counts a response of an endpoint by the framing of its body and by how the
 // body ended. Err is the error of the attempt that received the response.
 func (m *Metrics) bodyEnded(r receipt, err error) {
--- a/internal/forward/serve/receipt.go
+++ b/internal/forward/serve/receipt.go
@@ -61,7 +61,7 @@
 }
 
 // reasonOf returns the message of an error, cut off at maxReason.
-func reasonOf(err error) string {
-	reason := err.Error()
-	return reason[:min(len(reason), maxReason)]
-}
+func reasonOf(err error) string { return limitText(err.Error()) }
+
+// limitText returns a text from outside for the log, cut off at maxReason.
+func limitText(text string) string { return text[:min(len(text), maxReason)] }
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -399,3 +399,39 @@
 	f.loggedSize = len(f.logs.Entries)
 	return out.String()
 }
+
+// Two entries can name the same address, for example where an endpoint has started again. A
+// refusal of the first attempt that is written once more must not count for the second one.
+func TestSecondAttemptAtAnAddressUsesANewConnection(t *testing.T) {
+	f := newFixture(t)
+	f.configure(t, "route /o/ kind=once tries=2")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	const refusal = `write "HTTP/1.1 503 Full\r\nJacinthladder-Request: $ID\r\nJacinthladder-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"`
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			requests := 0
+			go f.serveScript(nc, "a", func() string {
+				if requests++; requests == 1 {
+					return refusal
+				}
+				t.Error("a second attempt came on the connection of the first one")
+				return refusal
+			})
+		}
+	}()
+	for _, id := range []string{"a", "b"} {
+		f.server.Picker.Update(picker.Endpoint{ID: id, Service: "s", Address: l.Addr().String(), Slots: 4}, time.Now())
+	}
+	got := f.sendRequest(t, "POST /o/x HTTP/1.1\nHost: h\nJacinthladder-Request: q1")
+	if !strings.HasPrefix(got, "503\n") || strings.Count(got, "saw POST") != 2 {
+		t.Errorf("got %s, want status 503 after two attempts", got)
+	}
+}
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -93,6 +93,7 @@
 
 	attempts   int       // number of endpoints to which the request, or a part of it, may have been sent
 	tried      []string  // IDs of the endpoints that were tried and are not picked again
+	addresses  []string  // addresses of these endpoints, and of the present one
 	mayHaveRun bool      // the request may have run at an endpoint
 	relay      *relay    // writes the response to the caller
 	lastErr    error     // error of the last failed attempt
