platform, plat/roster: put odd entries of a list aside one by one

Cause: a page of the store, and the instance list, were decoded as one JSON text. One entry nested 100,000 deep, which encoding/json refuses, failed the whole page: a running instance followed no further change, and one that started never became ready. Entries with a port of 0, slots of 2^63-1, a negative or endless warm-up, a start time out of range or the address of the instance itself were taken as they are; the conversion of numbers out of range differs between arm64 and x86-64. The deletion of an entry that could not be decoded was lost too.

Ruled out: that a panic ends the process (none in 2 x 20 s of fuzzing, nor in the test).

Change: lists are split into the texts of their entries without recursion (plat/scan), each is decoded by itself; the spec isn't read with the object, so an odd one replaces a good one and a deletion counts; numbers, ports and addresses have stated ranges.

--- a/internal/fleet/front/feeds.go
+++ b/internal/fleet/front/feeds.go
@@ -1,10 +1,12 @@
 package front
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/fleet/feed"
@@ -46,7 +48,8 @@
 	f.routes.WatchTimeout, f.endpoints.WatchTimeout = time.Duration(s.Forward().WatchTimeout), time.Duration(s.Forward().WatchTimeout)
 	f.routes.Apply = func(source string, o object.Object) { applyRoutes(source, o, r, p, logger) }
 	f.endpoints.DeleteGrace = deleteGrace
-	f.endpoints.Apply = func(source string, o object.Object) { applyEndpoint(source, o, p, logger) }
+	taken := fleetAddresses(s)
+	f.endpoints.Apply = func(source string, o object.Object) { applyEndpoint(source, o, p, taken, logger) }
 	return f
 }
 
@@ -78,10 +81,17 @@
 	l.WithField("version", t.Version()).Info("config: applied a version of the configuration")
 }
 
+// fleetAddresses returns the addresses of the instance itself, of the seeds and of the platform,
+// at which no endpoint can be. A request that is sent to the instance itself would come back
+// again and again.
+func fleetAddresses(s *setup.Settings) []string {
+	return append([]string{s.ListenAddress(), s.PeerAddress(), s.AdminAddress(), s.Forward().ReadyAddress, s.PlatformURL()}, s.Forward().Seeds...)
+}
+
 // applyEndpoint applies a changed entry of the endpoint registry, the object o, to p. It
-// removes the endpoint from p if the entry was deleted or cannot be decoded. Source says
-// in the log where the entry comes from: "platform" or a peer's name.
-func applyEndpoint(source string, o object.Object, p *picker.Picker, logger log.Interface) {
+// removes the endpoint from p if the entry was deleted, cannot be decoded or names an address
+// that is taken. Source says in the log where the entry comes from: "platform" or a peer's name.
+func applyEndpoint(source string, o object.Object, p *picker.Picker, taken []string, logger log.Interface) {
 	l := logger.WithFields(log.Fields{"source": source, "rev": o.Version(), "endpoint": o.Name()})
 	if o.Deleted() {
 		if p.Remove(o.Name()) {
@@ -90,9 +100,12 @@
 		return
 	}
 	e, err := platform.DecodeEndpoint(o)
+	if err == nil && slices.Contains(taken, e.Address) {
+		err = errors.Newf("front: an endpoint cannot be at %s, an address of the fleet or of the platform", e.Address)
+	}
 	if err != nil {
 		p.Remove(o.Name())
-		l.WithError(err).Warn("endpoint: removed, its registry entry could not be decoded")
+		l.WithError(err).Warn("endpoint: put aside, its registry entry names no endpoint to use")
 		return
 	}
 	if p.Update(e, time.Now()) {
--- a/internal/plat/roster/roster.go
+++ b/internal/plat/roster/roster.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"net/netip"
 
 	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/plat/scan"
 )
 
 // Entry describes one instance or endpoint in the platform's instance list.
@@ -19,7 +23,8 @@
 // Source supplies the platform's instance list. Its only field is a function, so that a
 // fake can replace it.
 type Source struct {
-	// Read returns the entries of the instance list as the platform has it now.
+	// Read returns the entries of the instance list as the platform has it now, without those
+	// that can't be decoded or name no instance.
 	Read func(ctx context.Context) ([]Entry, error)
 }
 
@@ -39,10 +44,35 @@
 		if resp.StatusCode != http.StatusOK {
 			return nil, errors.Newf("roster: the platform returned status %d for the instance list", resp.StatusCode)
 		}
-		var entries []Entry
-		if err := json.NewDecoder(resp.Body).Decode(&entries); err != nil {
-			return nil, errors.Wrap(err, "roster: decode the instance list")
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+		if err != nil {
+			return nil, errors.Wrap(err, "roster: read the instance list")
 		}
-		return entries, nil
+		return decode(data)
 	}}
 }
+
+// maxListBytes is the size of the longest instance list that is read, in bytes. A longer
+// one is cut off and can't be decoded.
+const maxListBytes = 64 << 20
+
+// decode decodes an instance list. It leaves out entries that can't be decoded, have no name or
+// have no IP address and port.
+func decode(data []byte) ([]Entry, error) {
+	items, err := scan.Items(data)
+	if err != nil {
+		return nil, errors.Wrap(err, "roster: decode the instance list")
+	}
+	var entries []Entry
+	for _, item := range items {
+		var e Entry
+		if err := json.Unmarshal(item, &e); err != nil || e.Name == "" {
+			continue // another writer's
+		}
+		if a, err := netip.ParseAddrPort(e.Address); err != nil || a.Port() == 0 {
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
