--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -55,13 +55,13 @@
 type Table struct {
 	interval time.Duration // between two heartbeats of a process
 
-	mu         sync.Mutex
-	self       Member                   // this process's own entry
-	known      map[string]*record       // other processes, by process ID
-	byKey      map[uint64]*record       // the same by key
-	nextKey    uint64                   // first key of the range of the next digest
-	counts     atomic.Pointer[Counts]   // result of Counts; nil before the first heartbeat
-	staying    atomic.Pointer[[]string] // result of Staying; nil before the first heartbeat
+	mu      sync.Mutex
+	self    Member                   // this process's own entry
+	known   map[string]*record       // other processes, by process ID
+	byKey   map[uint64]*record       // the same by key
+	nextKey uint64                   // first key of the range of the next digest
+	counts  atomic.Pointer[Counts]   // result of Counts; nil before the first heartbeat
+	staying atomic.Pointer[[]string] // result of Staying; nil before the first heartbeat
 }
 
 // NewTable returns a table that knows only its own process, self. The process must
--- a/internal/fleet/feed/doc.go
+++ b/internal/fleet/feed/doc.go
@@ -12,4 +12,10 @@
 // If the platform comes back from an older copy of its content, an object that was deleted
 // since may be there again. The feed puts it aside for a while, in which it is deleted or
 // written again, unless its writer is gone.
+//
+// In a large fleet, a few feeds watch the platform for all: the leaders. Their followers get
+// the changes from peers, and with them the time since the platform has confirmed that there are no
+// others. That time decides, not who the leaders are: a follower that nobody has confirmed anything
+// to for a while calls the platform itself. So a leader may die, stand still or be cut off, and
+// any number of feeds may lead.
 package feed
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -40,6 +40,9 @@
 	maxBackoff = 400 * time.Millisecond
 )
 
+// Platform is the source of objects that come from the platform itself, in calls of Feed.Apply.
+const Platform = "platform"
+
 // Feed follows the changes of the objects of one kind. Make one with New, and set Apply
 // before use.
 type Feed struct {
@@ -53,6 +56,9 @@
 	// WatchTimeout is how long a watch waits for an update before the feed makes a new
 	// call. New sets a default.
 	WatchTimeout time.Duration
+	// Role, if set, returns the present role of the feed. It is called often, and must not
+	// call the feed.
+	Role func() Role
 	// Apply is called with each received object that is newer than the version of this
 	// object that the feed knows. Source says where it comes from: "platform" or a peer's
 	// name. The objects of one response are passed in order of version, and there is one call
@@ -65,6 +71,7 @@
 	missing     map[string]time.Time      // when a known object was first missing from a list of the platform, by name
 	restored    map[string]restoredObject // objects put aside, by name
 	watched     int64                     // platform version up to which the feed has all changes; 0 makes the next fetch list all objects
+	listedTo    int64                     // version of the last list; later changes are known one by one
 	listed      bool                      // all objects of the kind were listed at least once
 	changed     chan struct{}             // closed and replaced after each change
 	unavailable bool                      // the last call to the platform failed, other than with object.ErrExpired
@@ -107,19 +114,24 @@
 }
 
 // Run lists all objects of the kind on the platform and then watches the kind for changes,
-// until ctx ends. It calls Apply with each update. Between calls to the platform it waits
+// until ctx ends. A follower rests while its peers confirm what it knows. Run calls Apply with each update. Between calls to the platform it waits
 // for minBatchDelay to maxBatchDelay, and after failed calls it backs off.
 func (f *Feed) Run(ctx context.Context) {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = minBackoff, maxBackoff
 	wait, delay := time.Duration(0), minBatchDelay
 	for ctx.Err() == nil {
+		if rest := f.restTime(time.Now()); rest > 0 {
+			pause.For(ctx, rest)
+			wait = 0
+			continue
+		}
 		changed, err := f.fetch(ctx, wait)
 		switch {
 		case err == nil:
 			b.Reset()
 			pause.For(ctx, min(delay, f.nextTimeout(time.Now())))
-			wait = f.nextTimeout(time.Now())
+			wait = f.watchTime(delay, time.Now())
 			delay = min(2*delay, maxBatchDelay)
 			if !changed {
 				delay = minBatchDelay
@@ -181,16 +193,19 @@
 	}
 	now, list := time.Now(), after == 0
 	if list {
-		f.merge("platform", lastStates(page), copied)
+		f.merge(Platform, lastStates(page), copied)
 		f.noteMissing(page, now)
 	} else {
-		f.merge("platform", lastStates(page), written)
+		f.merge(Platform, lastStates(page), written)
 	}
 	f.deleteMissing(page.Version(), now)
 	f.acceptRestored(page, list, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watched = page.Version()
+	f.watched = max(f.watched, page.Version())
+	if list {
+		f.listedTo = page.Version()
+	}
 	f.listed = true
 	f.heardAt = now
 	return len(page.Objects()) > 0, nil
--- a/internal/fleet/feed/objects.go
+++ b/internal/fleet/feed/objects.go
@@ -176,7 +176,7 @@
 		}
 	}
 	f.mu.Unlock()
-	f.merge("platform", deleted, written)
+	f.merge(Platform, deleted, written)
 }
 
 // restoredObject is an object that was deleted and came back with an older copy of the
@@ -213,5 +213,5 @@
 		}
 	}
 	f.mu.Unlock()
-	f.merge("platform", accepted, written)
+	f.merge(Platform, accepted, written)
 }
--- a/internal/fleet/front/feeds.go
+++ b/internal/fleet/front/feeds.go
@@ -10,8 +10,11 @@
 
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/fleet/feed"
+	"jacinthladder.dev/internal/fleet/peers"
+	peerwire "jacinthladder.dev/internal/fleet/peers/wire"
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/route"
+	"jacinthladder.dev/internal/forward/signal"
 	"jacinthladder.dev/internal/plat/object"
 	"jacinthladder.dev/platform"
 )
@@ -34,25 +37,62 @@
 func (r *Routes) Table() *route.Table { return r.table.Load() }
 
 // Feeds holds the two change feeds through which an instance follows the platform's
-// objects: the configuration with the routes, and the endpoint registry.
-type Feeds struct{ routes, endpoints *feed.Feed }
+// objects: the configuration with the routes, and the endpoint registry. Spread is raised when
+// objects have come from the platform that the followers of this instance should get.
+type Feeds struct {
+	routes, endpoints *feed.Feed
+	spread            signal.Signal
+}
 
 // NewFeeds returns feeds that apply each change of the configuration to r and p, and each
 // change of an endpoint's registry entry to p. A feed watches the platform only while its
 // method Run runs.
-func NewFeeds(s *setup.Settings, store *object.Store, r *Routes, p *picker.Picker, logger log.Interface) *Feeds {
+func NewFeeds(s *setup.Settings, store *object.Store, r *Routes, p *picker.Picker, roles *Roles, logger log.Interface) *Feeds {
 	f := &Feeds{
 		routes:    feed.New(platform.RoutesKind, store, logger),
 		endpoints: feed.New(platform.EndpointsKind, store, logger),
 	}
 	f.routes.WatchTimeout, f.endpoints.WatchTimeout = time.Duration(s.Forward().WatchTimeout), time.Duration(s.Forward().WatchTimeout)
-	f.routes.Apply = func(source string, o object.Object) { applyRoutes(source, o, r, p, logger) }
+	f.routes.Role, f.endpoints.Role = roles.Role, roles.Role
+	f.routes.Apply = func(source string, o object.Object) {
+		applyRoutes(source, o, r, p, logger)
+		f.passOn(source, roles)
+	}
 	f.endpoints.DeleteGrace = deleteGrace
 	taken := fleetAddresses(s)
-	f.endpoints.Apply = func(source string, o object.Object) { applyEndpoint(source, o, p, taken, logger) }
+	f.endpoints.Apply = func(source string, o object.Object) {
+		applyEndpoint(source, o, p, taken, logger)
+		f.passOn(source, roles)
+	}
 	return f
 }
 
+// passOn raises spread if this instance leads and an object has come from the platform.
+func (f *Feeds) passOn(source string, roles *Roles) {
+	if source == feed.Platform && roles.Role() == feed.Leader {
+		f.spread.Raise()
+	}
+}
+
+// syncOf returns the functions with which peers exchange the objects of a feed.
+func syncOf(f *feed.Feed) peers.ObjectSync {
+	return peers.ObjectSync{
+		Changed: f.Changed, CompleteVersion: f.Version, Since: f.Since, MergePeer: f.MergePeer,
+		Confirm: func(n *peerwire.SyncNote, at time.Time) {
+			f.Confirm(feed.Known{From: n.GetFrom(), To: n.GetTo(), Age: time.Duration(max(n.GetAge(), 0)) * time.Millisecond}, at)
+		},
+	}
+}
+
+// knownToWire returns what a feed knows in the form of a heartbeat, nil if it knows nothing.
+func knownToWire(f *feed.Feed) *peerwire.SyncNote {
+	k, ok := f.Known(time.Now())
+	if !ok {
+		return nil
+	}
+	return &peerwire.SyncNote{From: k.From, To: k.To, Age: k.Age.Milliseconds() + 1}
+}
+
 // applyRoutes puts the version of the configuration in the object o in force: its routing
 // table in r, and the KV cache sizes of its services in p. It ignores and logs a version
 // that is invalid or older than the one in force. Source says in the log where o comes
--- a/internal/fleet/front/peers.go
+++ b/internal/fleet/front/peers.go
@@ -49,16 +49,17 @@
 // configuration, the entries of endpoints, the IDs of endpoints that are leaving, the rates
 // that endpoints take and what crashes endpoints with them. When a peer reports an endpoint
 // as leaving, the server marks the endpoint as leaving in p.
-func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, news *signal.Signal, shards *ledger.Shards, logger log.Interface) *peers.Server {
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, roles *Roles, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, news *signal.Signal, shards *ledger.Shards, logger log.Interface) *peers.Server {
+	registry := syncOf(f.endpoints)
 	return &peers.Server{
 		Members: t, Holder: h, HandleKeep: shards.Keep, HandlePermit: granter.Handle, News: news.Changed,
-		Config: peers.ObjectSync{
-			Changed: f.routes.Changed, CompleteVersion: f.routes.Version, Since: f.routes.Since, MergePeer: f.routes.MergePeer,
-		},
-		Registry: &peers.ObjectSync{CompleteVersion: f.endpoints.Version, Since: f.endpoints.Since, MergePeer: f.endpoints.MergePeer},
+		Spread: f.spread.Changed, Leader: roles.Leader, Followers: roles.Followers,
+		Config: syncOf(f.routes), Registry: &registry,
 		LocalHeartbeat: func() *peerwire.BeatNote {
+			// What is known is read before the versions, which then include it.
+			routes, endpoints := knownToWire(f.routes), knownToWire(f.endpoints)
 			n := peers.NewHeartbeat(t, f.routes.Version())
-			n.Registry = f.endpoints.Version()
+			n.Registry, n.Routes, n.Endpoints = f.endpoints.Version(), routes, endpoints
 			n.Limits = peers.LimitsToWire(p.Limits(time.Now()))
 			n.Traits = peers.TraitsToWire(crashes.Notes(time.Now()))
 			for _, e := range p.Leaving() {
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -28,7 +28,7 @@
 // ProviderSet is the set of providers from which Wire constructs a Node and its
 // dependencies.
 var ProviderSet = wire.NewSet(
-	node.NewProcessID, Listen, metrics.NewSet, NewClient, NewStore, NewMembers, node.NewClient, NewNews, NewPicker, NewRoutes,
+	node.NewProcessID, Listen, metrics.NewSet, NewClient, NewStore, NewMembers, node.NewClient, NewNews, NewPicker, NewRoutes, NewRoles,
 	NewFeeds, NewPoison, NewGranter, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewForwarder,
 	wire.Struct(new(Deps), "*"), New,
 )
--- a/internal/fleet/peers/gossip.go
+++ b/internal/fleet/peers/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -89,7 +90,11 @@
 		g.Server.Members.Heartbeat()
 		g.readRoster(ctx)
 		g.Round(ctx)
-		if !g.wait(ctx, tick, changed, news) {
+		var spread <-chan struct{}
+		if g.Server.Spread != nil {
+			spread = g.Server.Spread()
+		}
+		if !g.wait(ctx, tick, changed, news, spread) {
 			return
 		}
 	}
@@ -97,8 +102,9 @@
 
 // wait waits until the next round of heartbeats is due: at the next tick, when changed is
 // closed, or when news is closed and minNewsInterval has passed. In the meantime it fetches
-// objects from the queued peers. It returns false if ctx ends first.
-func (g *Gossiper) wait(ctx context.Context, tick <-chan time.Time, changed, news <-chan struct{}) bool {
+// objects from the queued peers, and sends heartbeats to the followers of this instance each
+// time that spread is closed. It returns false if ctx ends first.
+func (g *Gossiper) wait(ctx context.Context, tick <-chan time.Time, changed, news, spread <-chan struct{}) bool {
 	due := time.After(minNewsInterval)
 	var dueNews <-chan struct{}
 	for {
@@ -113,6 +119,9 @@
 			return true
 		case <-dueNews:
 			return true
+		case <-spread:
+			spread = g.Server.Spread()
+			g.exchangeAll(ctx, g.Server.Followers())
 		case address := <-g.fetchQueue:
 			if err := g.exchange(ctx, address); err != nil {
 				g.Logger.WithError(err).Debug("peers: could not fetch objects from a peer")
@@ -141,19 +150,29 @@
 	}
 }
 
-// Round sends one heartbeat each to a few members and to a few addresses of the instance
-// list that belong to no live member. It returns when every exchange has ended or failed.
+// Round sends one heartbeat each to a few members, to the leader of this instance and to a few
+// addresses of the instance list that belong to no live member. It returns when every exchange
+// has ended or failed.
 func (g *Gossiper) Round(ctx context.Context) {
-	addresses := map[string]bool{}
 	now := time.Now()
+	addresses := g.unknown(now)
 	for _, m := range g.Server.Members.Targets(now, fanOut) {
-		addresses[m.Address] = true
+		addresses = append(addresses, m.Address)
 	}
-	for _, a := range g.unknown(now) {
-		addresses[a] = true
+	if g.Server.Leader != nil {
+		if leader := g.Server.Leader(); leader != "" {
+			addresses = append(addresses, leader)
+		}
 	}
+	slices.Sort(addresses)
+	g.exchangeAll(ctx, slices.Compact(addresses))
+}
+
+// exchangeAll sends a heartbeat to each address, and returns when every exchange has ended or
+// failed.
+func (g *Gossiper) exchangeAll(ctx context.Context, addresses []string) {
 	var group errgroup.Group
-	for a := range addresses {
+	for _, a := range addresses {
 		group.Go(func() error { return g.exchange(ctx, a) })
 	}
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
@@ -183,18 +202,36 @@
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	stub := g.Client.stub(address)
+	// The peer's ages are at least those at the begin of the call.
+	began := time.Now()
 	reply, err := stub.Beat(callCtx, g.Server.LocalHeartbeat())
 	if err != nil {
 		return errors.Wrap(err, "peers: call Beat")
 	}
 	g.Server.Receive(reply)
-	err = g.fetch(callCtx, stub, reply, false)
+	err = g.sync(callCtx, stub, reply, false, began)
 	if g.Server.Registry != nil {
-		err = errors.CombineErrors(err, g.fetch(callCtx, stub, reply, true))
+		err = errors.CombineErrors(err, g.sync(callCtx, stub, reply, true, began))
 	}
 	return err
 }
 
+// sync fetches what a peer has and this instance lacks of the configuration, or of the entries
+// of endpoints. Then it confirms what the peer knew at the time at.
+func (g *Gossiper) sync(ctx context.Context, stub wire.Peers, n *wire.BeatNote, registry bool, at time.Time) error {
+	if err := g.fetch(ctx, stub, n, registry); err != nil {
+		return err
+	}
+	objects, newest, known := &g.Server.Config, n.GetConfig(), n.GetRoutes()
+	if registry {
+		objects, newest, known = g.Server.Registry, n.GetRegistry(), n.GetEndpoints()
+	}
+	if objects.Confirm != nil && known != nil && objects.CompleteVersion() >= newest {
+		objects.Confirm(known, at)
+	}
+	return nil
+}
+
 // fetch fetches configuration, or the entries of endpoints, from a peer and merges them,
 // until this instance has the version that the peer's heartbeat n shows. One reply may
 // hold only a part. fetch gives up when a reply does not raise the version.
--- a/internal/fleet/peers/server.go
+++ b/internal/fleet/peers/server.go
@@ -42,6 +42,9 @@
 	// argument complete is the platform version up to which these objects include every
 	// change.
 	MergePeer func(peer string, objects []object.Object, complete int64)
+	// Confirm, if set, is called after all objects of a peer have been merged, with the
+	// changes that the peer knew at the time at.
+	Confirm func(peer *wire.SyncNote, at time.Time)
 }
 
 // Server handles the calls of peers. Set the exported fields before use; HandleClaim and
@@ -68,6 +71,13 @@
 	// HandlePermit, if set, returns the time until a peer may send a request, 0 if it may.
 	HandlePermit func(ctx context.Context, a permit.Ask) time.Duration
 
+	// Spread, if set, returns a channel that is closed when objects have come from the platform
+	// that the followers of this instance should get at once. Leader returns the address
+	// of the peer that this instance follows, empty if there is none, and Followers the
+	// addresses of the peers that follow it. Both are set with Spread.
+	Spread    func() <-chan struct{}
+	Leader    func() string
+	Followers func() []string
 	// News, if set, returns a channel that is closed when a round of heartbeats should start at
 	// once, besides at a change of the configuration.
 	News func() <-chan struct{}
