coord/escrow: do not ask all peers for each reservation in an outage

Cause: while the store is away or instances are cut off, each request that lacks budget asked its home, the next one, the collector and eight peers.

Change: an attempt at all sources that failed for want of a reachable one stands for 200 ms, for as much or more of that budget.

--- a/coord/escrow/deps.go
+++ b/coord/escrow/deps.go
@@ -155,6 +155,11 @@
 	// stays valid. During that time, a reservation of that amount or more is
 	// refused without a call to a peer or the store if the share can't serve it.
 	denialTTL = 20 * time.Millisecond
+	// unreachableTTL is how long a failed attempt at all sources, some of which did not
+	// reply or can't reach the store, stays valid. During that time, a reservation of that
+	// amount or more is refused at once if the share can't serve it: in an outage, each
+	// request of a caller would otherwise make a request to every peer.
+	unreachableTTL = 200 * time.Millisecond
 	// failureBackoff is how long after a failed call to the store no refill of the
 	// share from the ledger is tried.
 	failureBackoff = 500 * time.Millisecond
--- a/coord/escrow/home_test.go
+++ b/coord/escrow/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -288,3 +289,40 @@
 		}
 	})
 }
+
+// While neither the store nor any peer can provide an amount, reservations in quick succession
+// are refused without a request to all peers for each of them.
+func TestOutageDoesNotMakeEachReservationAskAllPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const reservations, interval = 400, 5 * time.Millisecond
+		for _, members := range [][]string{nil, {"self/1", "p0/1", "p1/1", "p2/1"}} {
+			var peers []string
+			for i := range 2 * maxPeersAsked {
+				peers = append(peers, fmt.Sprintf("p%d/1", i))
+			}
+			requests := 0
+			h := NewHolder("self/1", Store{
+				Read:  func(context.Context, string) (*Ledger, int64, error) { return nil, 0, ErrUnreachable },
+				Write: func(context.Context, string, int64, *Ledger) error { return ErrUnreachable },
+			}, Peers{
+				Live:        func() []string { return peers },
+				ZoneMembers: func() []string { return members },
+				Request: func(context.Context, string, TransferRequest) (TransferReply, error) {
+					requests++
+					return TransferReply{Err: ErrUnreachable}, nil
+				},
+			}, func(err error) { t.Error(err) })
+			for n := range reservations {
+				if _, err := h.Reserve(t.Context(), "b", Policy{}, ReserveRequest{Amount: 1000 + int64(n%7)}); !errors.Is(err, ErrUnreachable) {
+					t.Fatalf("reservation %d failed with %v, want ErrUnreachable", n, err)
+				}
+				time.Sleep(interval)
+			}
+			rounds := int(reservations*interval/unreachableTTL) + 1
+			// In each round a few amounts are tried, each smaller than the one before.
+			if most := 3 * rounds * (maxPeersAsked + 2); requests > most {
+				t.Errorf("%d reservations made %d requests to peers, want at most %d", reservations, requests, most)
+			}
+		}
+	})
+}
--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -71,7 +71,7 @@
 		return Hold{}, true, err
 	case isAny(err, ErrNotFound), ctx.Err() != nil:
 		return Hold{}, false, err
-	case s.storeHas(req.Amount) && !s.deniedLately(req.Amount, time.Now()):
+	case s.storeHas(req.Amount) && !s.deniedLately(req.Amount, time.Now()) && !s.unreachableLately(req.Amount, time.Now()):
 		// Other reservations of this process took the amount, and the ledger has more free.
 		return Hold{}, true, err
 	}
@@ -88,14 +88,29 @@
 }
 
 // trySources requests or draws the amount that the share lacks and then makes
-// the reservation. The sources are, in this order, the home of the budget, the
-// ledger, the collector and other peers. If the reservation fails, mayFree
-// reports whether open reservations, here or at peers, could free enough.
+// the reservation, unless that has just failed for as much or less. If the
+// reservation fails, mayFree reports whether open reservations, here or at peers,
+// could free enough.
 func (h *Holder) trySources(ctx context.Context, s *Share, req ReserveRequest, deadline time.Time) (hold Hold, mayFree bool, err error) {
 	now := time.Now()
-	if s.deniedLately(req.Amount, now) {
+	switch {
+	case s.deniedLately(req.Amount, now):
 		return Hold{}, false, ErrExhausted
+	case s.unreachableLately(req.Amount, now):
+		return Hold{}, s.mayFree(req.Amount), ErrUnreachable
+	}
+	hold, mayFree, err = h.tryEachSource(ctx, s, req, deadline)
+	if isAny(err, ErrUnreachable) && !mayFree && ctx.Err() == nil {
+		s.noteUnreachable(req.Amount, time.Now())
 	}
+	return hold, mayFree, err
+}
+
+// tryEachSource makes an attempt at each source, in this order: the home of the
+// budget, the ledger, the collector and other peers. Its results are those of
+// trySources.
+func (h *Holder) tryEachSource(ctx context.Context, s *Share, req ReserveRequest, deadline time.Time) (hold Hold, mayFree bool, err error) {
+	now := time.Now()
 	hold, mayFree, err = h.reserveViaHome(ctx, s, req, deadline)
 	if !isAny(err, errSelfHome) {
 		return hold, mayFree, err
--- a/coord/escrow/syncstate.go
+++ b/coord/escrow/syncstate.go
@@ -36,6 +36,9 @@
 	deniedAt     time.Time // when a peer last denied an amount
 	deniedAmount int64     // amount that was denied at deniedAt, in micro-units
 
+	unreachableAt     time.Time // when all sources were last tried in vain, some of them unreachable
+	unreachableAmount int64     // least amount that was tried in vain since then, in micro-units
+
 	witnesses []string         // process IDs of the witnesses that the share's row names
 	proposed  []string         // process IDs of the witnesses that the next write of the row will name, or a write of unknown outcome may have named
 	acked     map[string]int64 // highest acknowledged mark of the share in micro-units, by process ID of the witness
@@ -224,3 +227,18 @@
 	defer s.mu.Unlock()
 	s.sync.deniedAt, s.sync.deniedAmount = now, amount
 }
+
+// unreachableLately reports whether amount, or a smaller one, was tried in vain at all sources
+// within unreachableTTL.
+func (s *Share) unreachableLately(amount int64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.sync.unreachableAt) < unreachableTTL && amount >= s.sync.unreachableAmount
+}
+
+// noteUnreachable records that amount was tried in vain at all sources at the time now.
+func (s *Share) noteUnreachable(amount int64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sync.unreachableAt, s.sync.unreachableAmount = now, amount
+}
