--- a/internal/plat/roster/roster.go
+++ b/internal/plat/roster/roster.go
@@ -57,7 +57,7 @@
 const maxListBytes = 64 << 20
 
 // decode decodes an instance list. It leaves out entries that can't be decoded, have no name or
-// have no IP address and port.
+// an address that is not an IP address and port. An endpoint's entry may have none.
 func decode(data []byte) ([]Entry, error) {
 	items, err := scan.Items(data)
 	if err != nil {
@@ -69,7 +69,7 @@
 		if err := json.Unmarshal(item, &e); err != nil || e.Name == "" {
 			continue // another writer's
 		}
-		if a, err := netip.ParseAddrPort(e.Address); err != nil || a.Port() == 0 {
+		if a, err := netip.ParseAddrPort(e.Address); e.Address != "" && (err != nil || a.Port() == 0) {
 			continue
 		}
 		entries = append(entries, e)
