entry/send: reuse connections only to endpoints whose responses name the request

Cause: on the product's own surface a retryable call and the start of a stream went on kept connections of net/http, which takes whatever response comes first. An endpoint that writes a response once more made the next call get another one's answer, or fail as not accepted although it ran, and then run at a second endpoint. Ruled out for calls that must run once: they have a connection each.

Change: an endpoint gets further requests on a connection only if its responses repeat the request's ID; there a response without it fails as broken, with the outcome unknown. The stand-ins repeat it.

--- a/internal/entry/send/send.go
+++ b/internal/entry/send/send.go
@@ -65,8 +65,9 @@
 
 // Sender sends requests to endpoints over HTTP. Make one with NewSender.
 type Sender struct {
-	pooled   *http.Client // reuses idle connections
+	pooled   *http.Client // reuses idle connections, only to endpoints that are in echoes
 	unpooled *http.Client // opens a new connection for each request
+	echoes   echoes
 }
 
 // NewSender returns a sender with no open connections.
@@ -99,7 +100,7 @@
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(streamHeader, c.ID())
 	r.Header.Set(priorityHeader, strconv.Itoa(c.Priority()))
-	return s.openStream(s.pooled, r, c)
+	return s.openStream(r, c, func(r *http.Request) (*http.Response, error) { return s.do(r, base, streamHeader) })
 }
 
 // Resume opens the stream of a call again at the engine with the URL base, on a new
@@ -110,7 +111,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "send: create request that resumes a stream")
 	}
-	return s.openStream(s.unpooled, r, c)
+	return s.openStream(r, c, s.unpooled.Do)
 }
 
 // Cancel stops the stream with the given ID at the engine with the URL base, and
@@ -140,13 +141,13 @@
 	return u.usage(), nil
 }
 
-// openStream sends r through client and checks the status of the response. The request
+// openStream sends r by the function do and checks the status of the response. The request
 // r starts or resumes the stream of the call c.
-func (s *Sender) openStream(client *http.Client, r *http.Request, c *call.Call) (*Stream, error) {
+func (s *Sender) openStream(r *http.Request, c *call.Call, do func(*http.Request) (*http.Response, error)) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	watchdog := newWatchdog(c.Service().StallTimeout(), cancel)
 	tracker := connTracker{}
-	resp, err := client.Do(r.WithContext(tracker.trace(ctx)))
+	resp, err := do(r.WithContext(tracker.trace(ctx)))
 	if err != nil {
 		watchdog.stop()
 		err = tracker.classify(ctx, err)
@@ -204,11 +205,11 @@
 	if p.ContentType != "" {
 		r.Header.Set("Content-Type", p.ContentType)
 	}
-	client := s.unpooled
+	do := s.unpooled.Do
 	if c.Retryable() {
-		client = s.pooled
+		do = func(r *http.Request) (*http.Response, error) { return s.do(r, base, requestHeader) }
 	}
-	resp, err := client.Do(r)
+	resp, err := do(r)
 	if err != nil {
 		return Response{}, tracker.classify(ctx, err)
 	}
--- a/internal/stand/engine/http.go
+++ b/internal/stand/engine/http.go
@@ -40,6 +40,7 @@
 		return
 	}
 	id := r.Header.Get(StreamHeader)
+	w.Header().Set(StreamHeader, id)
 	priority, err := strconv.Atoi(r.Header.Get(PriorityHeader))
 	if id == "" || err != nil {
 		http.Error(w, "stream id or rank missing", http.StatusBadRequest)
--- a/internal/stand/plain/plain.go
+++ b/internal/stand/plain/plain.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// RequestIDHeader is the request header with the request's ID. Service.Runs counts
-	// the runs by this ID.
+	// RequestIDHeader is the header with the request's ID, which responses repeat.
+	// Service.Runs counts the runs by this ID.
 	RequestIDHeader = "Request-Id"
 	// LeavingHeader is the header that is "true" on every response of a service that
 	// is leaving, which runs no more requests.
@@ -94,6 +94,7 @@
 		if result == breakBefore {
 			panic(http.ErrAbortHandler)
 		}
+		w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
 		if result == refuseLeaving {
 			w.Header().Set(LeavingHeader, "true")
 			http.Error(w, "leaving", http.StatusServiceUnavailable)
