--- a/coord/escrow/syncstate.go
+++ b/coord/escrow/syncstate.go
@@ -33,11 +33,8 @@
 	zoneSize   int       // number of holders in the zone, one of which is the home of the budget; 0 if each holder draws from the ledger
 	returnedAt time.Time // when the share last returned a surplus to its home
 
-	deniedAt     time.Time // when a peer last denied an amount
-	deniedAmount int64     // amount that was denied at deniedAt, in micro-units
-
-	unreachableAt     time.Time // when all sources were last tried in vain, some of them unreachable
-	unreachableAmount int64     // least amount that was tried in vain since then, in micro-units
+	denied      failedAttempt // the last amount that a peer denied
+	unreachable failedAttempt // the last amount that was tried in vain at all sources, some of them unreachable
 
 	witnesses []string         // process IDs of the witnesses that the share's row names
 	proposed  []string         // process IDs of the witnesses that the next write of the row will name, or a write of unknown outcome may have named
@@ -212,12 +209,24 @@
 	return c.free <= 0 && now.Sub(c.readAt) < scarceTTL && s.idle() < s.floor()
 }
 
+// failedAttempt is an amount that a share could not get, and when it tried.
+type failedAttempt struct {
+	at     time.Time
+	amount int64 // in micro-units
+}
+
+// covers reports whether an attempt at amount would fail as well: it is as much or more, and the
+// failed attempt is younger than ttl.
+func (f failedAttempt) covers(amount int64, ttl time.Duration, now time.Time) bool {
+	return now.Sub(f.at) < ttl && amount >= f.amount
+}
+
 // deniedLately reports whether a peer has denied this share amount, or a
 // smaller amount, within denialTTL.
 func (s *Share) deniedLately(amount int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.sync.deniedAt) < denialTTL && amount >= s.sync.deniedAmount
+	return s.sync.denied.covers(amount, denialTTL, now)
 }
 
 // noteDenial records that a peer could not provide amount at the time now.
@@ -225,7 +234,7 @@
 func (s *Share) noteDenial(amount int64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sync.deniedAt, s.sync.deniedAmount = now, amount
+	s.sync.denied = failedAttempt{at: now, amount: amount}
 }
 
 // unreachableLately reports whether amount, or a smaller one, was tried in vain at all sources
@@ -233,12 +242,12 @@
 func (s *Share) unreachableLately(amount int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.sync.unreachableAt) < unreachableTTL && amount >= s.sync.unreachableAmount
+	return s.sync.unreachable.covers(amount, unreachableTTL, now)
 }
 
 // noteUnreachable records that amount was tried in vain at all sources at the time now.
 func (s *Share) noteUnreachable(amount int64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sync.unreachableAt, s.sync.unreachableAmount = now, amount
+	s.sync.unreachable = failedAttempt{at: now, amount: amount}
 }
