--- a/internal/plat/scan/scan_test.go
+++ b/internal/plat/scan/scan_test.go
@@ -39,7 +39,7 @@
 
 // A response of the store that is cut off must not be taken for a shorter one.
 func TestCutOffTextIsNotSplit(t *testing.T) {
-	const text = `{"items":[{"metadata":{"name":"a\"b","rev":1},"spec":{"x":[1,2]}}],"hasMore":false}`
+	const text = `{"items":[{"metadata":{"name":"a\"b","rev":1},"spec":{"x":[1,2]}}],"rest":false}`
 	for n := range len(text) {
 		if fields, err := Fields([]byte(text[:n])); err == nil {
 			t.Errorf("Fields split the text %q, which is cut off, into %q", text[:n], fields)
