--- a/internal/fleet/front/roles.go
+++ b/internal/fleet/front/roles.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -79,21 +80,17 @@
 		return
 	}
 	leaders := subset.Pick(leaderKey, processes, 1+(len(processes)-1)/followersPerLeader)
-	following := map[string][]string{}
-	for _, p := range processes {
-		leader := subset.Rank(p, leaders)[0]
-		following[leader] = append(following[leader], p)
+	if !slices.Contains(leaders, self.Process) {
+		r.role, r.leader = feed.Follower, addresses[leaderOf(self.Process, leaders)]
+		return
 	}
-	for _, l := range leaders {
-		if l == self.Process {
-			r.role = feed.Leader
-			for _, p := range following[l] {
-				if p != l {
-					r.followers = append(r.followers, addresses[p])
-				}
-			}
-			return
+	r.role = feed.Leader
+	for _, p := range processes {
+		if !slices.Contains(leaders, p) && leaderOf(p, leaders) == self.Process {
+			r.followers = append(r.followers, addresses[p])
 		}
 	}
-	r.role, r.leader = feed.Follower, addresses[subset.Rank(self.Process, leaders)[0]]
 }
+
+// leaderOf returns the one of the leaders that a process follows.
+func leaderOf(process string, leaders []string) string { return subset.Pick(process, leaders, 1)[0] }
