forward/serve: notice endpoints that crash as soon as a request has arrived

Cause: a connection that its endpoint closes within 20 ms without a byte was taken for one that had died before, so such a crash was booked on no request, and the request was never blocked.

Change: the instance tries to connect to that endpoint 30 ms later; if nothing listens, it has crashed. 32 checks at a time at most; a sound endpoint costs one more connection for each connection that it drops.

--- a/internal/forward/serve/crash.go
+++ b/internal/forward/serve/crash.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// minServiceTime is the least time after which an endpoint that has sent no header can
-// have crashed under the request.
+// minServiceTime is the least time after which an endpoint that has sent no header and has
+// closed the connection has surely not closed it before the request came.
 const minServiceTime = 20 * time.Millisecond
 
 // noteCrash tells the tracker of crashes how an attempt ended: with a connection that the
@@ -62,19 +62,49 @@
 	now := time.Now()
 	switch {
 	case ctx.Err() == nil && x.endpointClosed(err):
-		if x.received.status == 0 && now.Sub(x.sentAt) < minServiceTime {
-			return // the connection was dead, or could not be used
-		}
 		traits := x.requestTraits()
 		if x.relay.events == 0 && x.request.LastEventID == "" {
 			traits = x.traits()
 		}
-		x.Poison.Crash(incarnation(pk), x.accountName(), traits, x.received.status != 0, now)
+		crash := func() { x.Poison.Crash(incarnation(pk), x.accountName(), traits, x.received.status != 0, now) }
+		if x.received.status == 0 && now.Sub(x.sentAt) < minServiceTime {
+			x.ifGone(pk.Endpoint().Address, crash)
+			return
+		}
+		crash()
 	case !x.Poison.Empty() && (err == nil || errors.Is(err, errFailed)):
 		x.Poison.Sound(x.traits(), now)
 	}
 }
 
+const (
+	// goneCheckDelay is the time from a closed connection to the check whether its endpoint
+	// has gone, in which a process that crashes stops listening.
+	goneCheckDelay = 30 * time.Millisecond
+	// maxGoneChecks is the number of these checks at a time. Beyond it none is made.
+	maxGoneChecks = 32
+)
+
+// ifGone calls crash, in the background, if nothing listens at the address of an endpoint that
+// has just closed a connection. A connection that had died before, or was one too many, is closed as
+// soon, but then the endpoint accepts another one.
+func (s *Server) ifGone(address string, crash func()) {
+	if s.goneChecks.Add(1) > maxGoneChecks {
+		s.goneChecks.Add(-1)
+		return
+	}
+	s.requests.Go(func() {
+		defer s.goneChecks.Add(-1)
+		time.Sleep(goneCheckDelay)
+		conn, err := s.Pool.Get(context.Background(), address, true)
+		if err != nil {
+			crash()
+			return
+		}
+		conn.Close()
+	})
+}
+
 // noteFirstEvent tells the tracker of crashes that the request has got its first event.
 func (x *exchange) noteFirstEvent() {
 	if !x.Poison.Empty() {
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -62,14 +62,15 @@
 	Metrics     *Metrics
 	Logger      log.Interface
 
-	inFlight atomic.Int64
-	requests sync.WaitGroup
+	inFlight   atomic.Int64
+	goneChecks atomic.Int64   // checks of ifGone in progress
+	requests   sync.WaitGroup // requests and checks in progress
 }
 
 // InFlight returns the number of requests that have arrived and have not ended.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// Wait blocks until all requests that have arrived have ended.
+// Wait blocks until all requests that have arrived, and the checks that they began, have ended.
 func (s *Server) Wait() { s.requests.Wait() }
 
 // exchange is the state of one request from its arrival to the end of its response.
