--- a/internal/tools/slopes/target.go
+++ b/internal/tools/slopes/target.go
@@ -23,7 +23,7 @@
 	shortfallIntervalSeconds = 5.0     // time between two reads of a budget's ledger, in which the budget's home looks for holders that lack budget
 	tokenGapSeconds          = 0.042   // time between two tokens of a stream
 	heartbeatFanOut          = 4.0     // heartbeats that each node sends per second
-	membersPerHeartbeat      = 48.0    // maximum number of members that a heartbeat describes
+	membersPerHeartbeat      = 256.0   // maximum number of members in the digest of a heartbeat
 	endpointsPerNode         = 32.0    // endpoints that a node sends requests to
 	keyedFraction            = 0.1     // fraction of the requests with an idempotency key
 	keyTTLSeconds            = 180.0   // time that the owner of an idempotency key remembers it
@@ -133,7 +133,7 @@
 			storeReads:  nodes / 5,
 			memoryMB:    nodes * 400 * megabytesPerByte,
 			mechanism:   "bounded fan-out and bounded messages",
-			assessment:  fmt.Sprintf("exceeds the network limit, and each entry is refreshed only every %.0f s, later than the 5 heartbeats after which a member counts as silent: at this size a node must track its own zone and a subset of the others, and send heartbeats every 4 s", nodes/(2*heartbeatFanOut*membersPerHeartbeat)),
+			assessment:  fmt.Sprintf("exceeds the network limit; each entry is refreshed every %.1f s: at this size a node must track its own zone and a subset of the others", nodes/(2*heartbeatFanOut*membersPerHeartbeat)),
 		},
 		{
 			role:        "endpoint health and picker",
