--- a/internal/forward/serve/crash.go
+++ b/internal/forward/serve/crash.go
@@ -66,8 +66,9 @@
 		if x.relay.events == 0 && x.request.LastEventID == "" {
 			traits = x.traits()
 		}
-		crash := func() { x.Poison.Crash(incarnation(pk), x.accountName(), traits, x.received.status != 0, now) }
-		if x.received.status == 0 && now.Sub(x.sentAt) < minServiceTime {
+		endpoint, account, begun := incarnation(pk), x.accountName(), x.received.status != 0
+		crash := func() { x.Poison.Crash(endpoint, account, traits, begun, now) }
+		if !begun && now.Sub(x.sentAt) < minServiceTime {
 			x.ifGone(pk.Endpoint().Address, crash)
 			return
 		}
