coord/escrow: one check for reservations that have just failed

deniedLately and unreachableLately stood side by side, and each caller asked both. failedLately returns the error of either. No behaviour changes; go test -race ./coord/escrow passes.

--- a/coord/escrow/reserve.go
+++ b/coord/escrow/reserve.go
@@ -71,7 +71,7 @@
 		return Hold{}, true, err
 	case isAny(err, ErrNotFound), ctx.Err() != nil:
 		return Hold{}, false, err
-	case s.storeHas(req.Amount) && !s.deniedLately(req.Amount, time.Now()) && !s.unreachableLately(req.Amount, time.Now()):
+	case s.storeHas(req.Amount) && s.failedLately(req.Amount, time.Now()) == nil:
 		// Other reservations of this process took the amount, and the ledger has more free.
 		return Hold{}, true, err
 	}
@@ -92,12 +92,8 @@
 // reservation fails, mayFree reports whether open reservations, here or at peers,
 // could free enough.
 func (h *Holder) trySources(ctx context.Context, s *Share, req ReserveRequest, deadline time.Time) (hold Hold, mayFree bool, err error) {
-	now := time.Now()
-	switch {
-	case s.deniedLately(req.Amount, now):
-		return Hold{}, false, ErrExhausted
-	case s.unreachableLately(req.Amount, now):
-		return Hold{}, s.mayFree(req.Amount), ErrUnreachable
+	if err := s.failedLately(req.Amount, time.Now()); err != nil {
+		return Hold{}, isAny(err, ErrUnreachable) && s.mayFree(req.Amount), err
 	}
 	hold, mayFree, err = h.tryEachSource(ctx, s, req, deadline)
 	if isAny(err, ErrUnreachable) && !mayFree && ctx.Err() == nil {
--- a/coord/escrow/syncstate.go
+++ b/coord/escrow/syncstate.go
@@ -221,31 +221,31 @@
 	return now.Sub(f.at) < ttl && amount >= f.amount
 }
 
-// deniedLately reports whether a peer has denied this share amount, or a
-// smaller amount, within denialTTL.
-func (s *Share) deniedLately(amount int64, now time.Time) bool {
+// failedLately returns the error with which amount, or a smaller one, has just failed:
+// ErrExhausted if a peer has denied it within denialTTL, ErrUnreachable if it was tried in vain at all
+// sources within unreachableTTL, and nil otherwise.
+func (s *Share) failedLately(amount int64, now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sync.denied.covers(amount, denialTTL, now)
+	switch {
+	case s.sync.denied.covers(amount, denialTTL, now):
+		return ErrExhausted
+	case s.sync.unreachable.covers(amount, unreachableTTL, now):
+		return ErrUnreachable
+	}
+	return nil
 }
 
 // noteDenial records that a peer could not provide amount at the time now.
-// deniedLately uses the record.
+// failedLately uses the record.
 func (s *Share) noteDenial(amount int64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sync.denied = failedAttempt{at: now, amount: amount}
 }
 
-// unreachableLately reports whether amount, or a smaller one, was tried in vain at all sources
-// within unreachableTTL.
-func (s *Share) unreachableLately(amount int64, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.sync.unreachable.covers(amount, unreachableTTL, now)
-}
-
 // noteUnreachable records that amount was tried in vain at all sources at the time now.
+// failedLately uses the record.
 func (s *Share) noteUnreachable(amount int64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
