--- a/internal/entry/send/echo_test.go
+++ b/internal/entry/send/echo_test.go
@@ -13,6 +13,7 @@
 
 	"jacinthladder.dev/internal/conf/spec"
 	"jacinthladder.dev/internal/entry/call"
+	"jacinthladder.dev/internal/stand/canned"
 )
 
 // repeater is a plain service that writes its last response on a connection once more, before
@@ -25,25 +26,6 @@
 	runs map[string]int // by request ID
 }
 
-// start starts the service and returns its URL.
-func (p *repeater) start(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(nc)
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 func (p *repeater) serve(nc net.Conn) {
 	defer nc.Close()
 	br := bufio.NewReader(nc)
@@ -92,7 +74,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p.runs = map[string]int{}
-			base := p.start(t)
+			base := "http://" + canned.ServeConns(t, p.serve)
 			s := NewSender()
 			t.Cleanup(s.Close)
 			for n := range 50 {
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -33,6 +33,7 @@
 	"jacinthladder.dev/internal/forward/poison"
 	"jacinthladder.dev/internal/forward/prepay"
 	"jacinthladder.dev/internal/forward/route"
+	"jacinthladder.dev/internal/stand/canned"
 )
 
 // TestScripts runs the scripts in testdata/routes.
@@ -405,30 +406,18 @@
 func TestSecondAttemptAtAnAddressUsesANewConnection(t *testing.T) {
 	f := newFixture(t)
 	f.configure(t, "route /o/ kind=once tries=2")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	const refusal = `write "HTTP/1.1 503 Full\r\nJacinthladder-Request: $ID\r\nJacinthladder-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"`
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			requests := 0
-			go f.serveScript(nc, "a", func() string {
-				if requests++; requests == 1 {
-					return refusal
-				}
+	address := canned.ServeConns(t, func(nc net.Conn) {
+		requests := 0
+		f.serveScript(nc, "a", func() string {
+			if requests++; requests > 1 {
 				t.Error("a second attempt came on the connection of the first one")
-				return refusal
-			})
-		}
-	}()
+			}
+			return refusal
+		})
+	})
 	for _, id := range []string{"a", "b"} {
-		f.server.Picker.Update(picker.Endpoint{ID: id, Service: "s", Address: l.Addr().String(), Slots: 4}, time.Now())
+		f.server.Picker.Update(picker.Endpoint{ID: id, Service: "s", Address: address, Slots: 4}, time.Now())
 	}
 	got := f.sendRequest(t, "POST /o/x HTTP/1.1\nHost: h\nJacinthladder-Request: q1")
 	if !strings.HasPrefix(got, "503\n") || strings.Count(got, "saw POST") != 2 {
--- a/internal/plat/scan/scan.go
+++ b/internal/plat/scan/scan.go
@@ -1,8 +1,8 @@
 package scan
 
 import (
-	"bytes"
 	"encoding/json"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -74,7 +74,7 @@
 }
 
 func (s *scanner) skipSpace() {
-	for s.pos < len(s.data) && bytes.IndexByte([]byte(" \t\r\n"), s.data[s.pos]) >= 0 {
+	for s.pos < len(s.data) && strings.IndexByte(" \t\r\n", s.data[s.pos]) >= 0 {
 		s.pos++
 	}
 }
@@ -139,6 +139,6 @@
 
 // skipPlain skips at least one byte, up to the next bracket, quote, comma, colon or space.
 func (s *scanner) skipPlain() {
-	for s.pos++; s.pos < len(s.data) && bytes.IndexByte([]byte("{}[]\",: \t\r\n"), s.data[s.pos]) < 0; s.pos++ {
+	for s.pos++; s.pos < len(s.data) && strings.IndexByte("{}[]\",: \t\r\n", s.data[s.pos]) < 0; s.pos++ {
 	}
 }
--- a/internal/stand/canned/canned.go
+++ b/internal/stand/canned/canned.go
@@ -14,6 +14,12 @@
 // given bytes and closes the connection. It returns the address of the server, which
 // stops when the test ends.
 func Serve(t testing.TB, response string) string {
+	return ServeConns(t, func(nc net.Conn) { serveOne(nc, response) })
+}
+
+// ServeConns starts a server on loopback that calls serve with each connection, in a goroutine
+// of its own. It returns the address of the server, which stops when the test ends.
+func ServeConns(t testing.TB, serve func(nc net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -29,7 +35,7 @@
 			if err != nil {
 				return // the test has ended
 			}
-			serveOne(nc, response)
+			go serve(nc)
 		}
 	}()
 	return l.Addr().String()
