--- a/internal/fleet/front/feeds.go
+++ b/internal/fleet/front/feeds.go
@@ -149,6 +149,6 @@
 		return
 	}
 	if p.Update(e, time.Now()) {
-		l.WithFields(log.Fields{"service": e.Service, "zone": e.Zone, "leaving": e.Leaving, "started": e.StartedAt}).Info("endpoint: changed, applied its new registry entry")
+		l.WithFields(log.Fields{"service": e.Service, "zone": e.Zone, "software": e.Version, "leaving": e.Leaving, "started": e.StartedAt}).Info("endpoint: changed, applied its new registry entry")
 	}
 }
--- a/internal/forward/meta/codec.go
+++ b/internal/forward/meta/codec.go
@@ -24,6 +24,7 @@
 	MaxOutput    int64         // largest number of tokens that may be generated
 	Parts        []Part        // parts of the prompt, in order; empty if not stated
 	LastEventID  string        // ID of the last event that the caller has, if it resumes a stream
+	Resumes      string        // ID of the request that brought the first event of the stream that this one resumes, empty if not stated
 }
 
 // MaxTokens returns the largest number of tokens that the request can consume: those
--- a/internal/forward/meta/native.go
+++ b/internal/forward/meta/native.go
@@ -22,6 +22,7 @@
 	headerRetryAfter  = "Retry-After"           // seconds, may have a fraction
 	headerLimit       = "Jacinthladder-Limit"   // requests per second that the endpoint takes from all instances, may have a fraction
 	headerLastEventID = "Last-Event-Id"
+	headerResumes     = "Jacinthladder-Resumes" // ID of the request that brought the first event of the stream
 	headerKey         = "Authorization"
 
 	outcomeNotRun = "not-run"
@@ -69,7 +70,7 @@
 // decodeNative decodes the native headers of a caller's request. The texts of its
 // errors are sent to the caller.
 func decodeNative(h http.Header) (Request, error) {
-	r := Request{ID: h.Get(headerID), LastEventID: h.Get(headerLastEventID)}
+	r := Request{ID: h.Get(headerID), LastEventID: h.Get(headerLastEventID), Resumes: h.Get(headerResumes)}
 	if key, ok := strings.CutPrefix(h.Get(headerKey), keyScheme); ok {
 		r.Key = key
 	}
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -21,6 +21,7 @@
 	Service   string
 	Address   string // host and port for connections
 	Zone      string
+	Version   string        // of the endpoint's software, empty if not stated
 	Slots     int           // requests that the endpoint runs concurrently, 0 for no limit
 	Leaving   bool          // the endpoint must get no new requests
 	WarmUp    time.Duration // remaining warm-up time at the call of Update
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -196,7 +197,10 @@
 	e := pk.Endpoint()
 	f := log.Fields{
 		"request": x.request.ID, "route": x.route.Name, "version": x.table.Version(), "endpoint": e.ID,
-		"zone": e.Zone, "cached": pk.CachedTokens(), "send": x.attempts, "ms": time.Since(x.startedAt).Milliseconds(),
+		"zone": e.Zone, "software": e.Version, "cached": pk.CachedTokens(), "send": x.attempts, "ms": time.Since(x.startedAt).Milliseconds(),
+	}
+	if x.sentFrom != "" {
+		f["from"], f["resumes"] = limitText(x.sentFrom), limitText(x.request.Resumes)
 	}
 	if x.RegistryAge != nil {
 		f["registry"] = x.RegistryAge().Milliseconds()
@@ -235,6 +239,7 @@
 		conn.Close()
 	}()
 	r := x.outgoing(e)
+	x.sentFrom = cmp.Or(x.relay.lastEventID, x.request.LastEventID)
 	x.attempts++
 	x.sentAt = time.Now()
 	ranBefore := x.mayHaveRun
