forward/serve: continue a stream within its answer only at the version that began it

What callers saw: a stream that broke off went on, within one answer, at an endpoint of another software version, and was framed as whole. Ruled out: that zones or cached parts keep a stream at its version. Change: the version of the endpoint that sent the first event is a condition of all later picks; if none of it is left, the stream is broken off, and a silent endpoint is waited for.

--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -172,6 +172,14 @@
 	return len(p.available[service])
 }
 
+// Fits reports whether the service has an endpoint that is not leaving to which the request may
+// be sent, whether it has a free slot or not.
+func (p *Picker) Fits(info PickInfo) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.available[info.Service], info.fits)
+}
+
 // Len returns the number of endpoints of all services, including leaving ones.
 func (p *Picker) Len() int {
 	p.mu.Lock()
@@ -204,12 +212,20 @@
 	Request *meta.Request // metadata of the request
 	Bytes   int           // length of the request body in bytes
 	Tried   []string      // IDs of endpoints that must not be picked
+	// Version, if set, is the software version that the endpoint must have, because one of this
+	// version has begun the response.
+	Version string
+}
+
+// fits reports whether a request may be sent to an endpoint of its service at all.
+func (info *PickInfo) fits(s *endpointState) bool {
+	return !slices.Contains(info.Tried, s.ID) && (info.Version == "" || info.Version == s.Version)
 }
 
 // Pick places a request at the endpoint with the lowest cost and counts the request
 // as running there. It picks an ejected endpoint only if no other one has a free
 // slot. It returns nil if every endpoint of the service is leaving, listed in
-// info.Tried, busy or without a free slot.
+// info.Tried, of another version than info.Version, busy or without a free slot.
 func (p *Picker) Pick(info PickInfo, now time.Time) *Pick {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -218,7 +234,7 @@
 	var available []*endpointState
 	var candidates []place.Candidate
 	for _, s := range p.available[info.Service] {
-		if slices.Contains(info.Tried, s.ID) {
+		if !info.fits(s) {
 			continue
 		}
 		available = append(available, s)
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -87,9 +87,15 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	return x.Picker.Pick(picker.PickInfo{
-		Service: x.service.Name, Request: &x.request, Bytes: len(x.body), Tried: tried,
-	}, time.Now())
+	return x.Picker.Pick(x.pickInfo(tried), time.Now())
+}
+
+// pickInfo describes the request to the picker. A stream that has begun goes on only at the
+// software version that began it.
+func (x *exchange) pickInfo(tried []string) picker.PickInfo {
+	return picker.PickInfo{
+		Service: x.service.Name, Request: &x.request, Bytes: len(x.body), Tried: tried, Version: x.version,
+	}
 }
 
 // mayRetry reports whether another endpoint may be tried after an attempt failed
@@ -274,7 +280,7 @@
 // If the response reports that the request did not run, it is discarded, and the
 // error is errNotRun. The result keep reports whether the connection may be reused.
 func (x *exchange) relayResponse(ctx context.Context, pk *picker.Pick, conn *conns.Conn, r *conns.Request) (keep bool, err error) {
-	timer := x.startStallTimer(conn)
+	timer := x.startStallTimer(pk, conn)
 	defer timer.stop()
 	resp, header, err := x.readHeader(conn, r)
 	if err != nil {
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -127,6 +128,7 @@
 			}
 			if r.events == 0 {
 				pk.MarkPrefilled()
+				r.x.version = pk.Endpoint().Version
 				r.x.noteFirstEvent()
 			}
 			r.events++
@@ -187,22 +189,28 @@
 type stallTimer struct {
 	timer *time.Timer
 	gap   time.Duration // how long the timer waits for the next event of a stream
+	begun atomic.Bool   // an event has come
 	fired atomic.Bool   // the timer has closed the connection
 }
 
-// startStallTimer returns a timer that waits for the endpoint on conn to begin its
+// startStallTimer returns a timer that waits for the endpoint of pk on conn to begin its
 // response. The timer never fires if the request may not be sent to another
 // endpoint.
-func (x *exchange) startStallTimer(conn *conns.Conn) *stallTimer {
+func (x *exchange) startStallTimer(pk *picker.Pick, conn *conns.Conn) *stallTimer {
 	t := &stallTimer{}
 	if !x.route.Retryable() || x.attempts >= x.route.MaxAttempts {
 		return t
 	}
 	t.gap = max(3*x.route.MaxEventGap, minGapTimeout)
+	e := pk.Endpoint()
+	info := x.pickInfo(append(slices.Clip(x.tried), e.ID))
 	t.timer = time.AfterFunc(max(x.route.Objective, minResponseTimeout), func() {
 		// The connection is closed only if another endpoint may be tried. Without a
 		// retry left, a late response is better than none.
-		if x.Retries(x.service.Name).AllowRetry(time.Now()) {
+		if t.begun.Load() {
+			info.Version = e.Version
+		}
+		if x.Picker.Fits(info) && x.Retries(x.service.Name).AllowRetry(time.Now()) {
 			t.fired.Store(true)
 			conn.Close()
 		}
@@ -212,6 +220,7 @@
 
 // reset restarts the timer after an event, so that it waits for the next event.
 func (t *stallTimer) reset() {
+	t.begun.Store(true)
 	if t.timer != nil {
 		t.timer.Reset(t.gap)
 	}
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -52,7 +52,7 @@
 func TestBrokenOffResponseIsNotFramedAsCompleteForHTTP10Callers(t *testing.T) {
 	f := newFixture(t)
 	f.configure(t, "route /r/ kind=stream")
-	f.startEndpoint(t, "a", `write "HTTP/1.1 200 OK\r\nJacinthladder-Request: $ID\r\n\r\nid: 1\ndata: x\n\nid: 2"; wait 20ms; close`)
+	f.startEndpoint(t, "a", "", `write "HTTP/1.1 200 OK\r\nJacinthladder-Request: $ID\r\n\r\nid: 1\ndata: x\n\nid: 2"; wait 20ms; close`)
 	nc, err := net.Dial("tcp", f.httpServer.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -72,7 +72,7 @@
 // runScript runs one script. A script defines the responses of endpoints and shows the
 // responses that callers get. The commands are:
 //
-//	endpoint ID      starts an endpoint; each line is the response to one request,
+//	endpoint ID      starts an endpoint, with version=V one of that software version; each line is the response to one request,
 //	                 in order, with the steps write "TEXT", fill BYTES, wait TIME,
 //	                 flood (bytes until the connection is closed), reset, close
 //	gone ID          removes the endpoint from the picker
@@ -90,7 +90,9 @@
 	datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "endpoint":
-			f.startEndpoint(t, d.CmdArgs[0].Key, d.Input)
+			version := ""
+			d.MaybeScanArgs(t, "version", &version)
+			f.startEndpoint(t, d.CmdArgs[0].Key, version, d.Input)
 			return ""
 		case "gone":
 			f.server.Picker.Remove(d.CmdArgs[0].Key)
@@ -226,7 +228,7 @@
 
 // startEndpoint starts an endpoint that serves a script and adds it to the picker.
 // It replaces an endpoint with the same ID.
-func (f *fixture) startEndpoint(t *testing.T, id, script string) {
+func (f *fixture) startEndpoint(t *testing.T, id, version, script string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -255,7 +257,7 @@
 	}()
 	zone := map[string]string{"a": "ikeja"}[id] // the server's zone, so that endpoint a is picked first
 	f.server.Picker.Remove(id)
-	f.server.Picker.Update(picker.Endpoint{ID: id, Service: "s", Address: l.Addr().String(), Zone: zone, Slots: 4}, time.Now())
+	f.server.Picker.Update(picker.Endpoint{ID: id, Service: "s", Address: l.Addr().String(), Zone: zone, Version: version, Slots: 4}, time.Now())
 }
 
 // serveScript serves one connection to the endpoint with the given ID. The function
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -99,6 +99,7 @@
 	relay      *relay    // writes the response to the caller
 	lastErr    error     // error of the last failed attempt
 	sentAt     time.Time // when the current attempt was sent, zero before
+	version    string    // software version of the endpoint that began the stream, empty before the first event
 	sentFrom   string    // ID of the event after which the current attempt resumes the stream, empty if it begins one
 	received   receipt   // describes the response of the current attempt
 }
