forward/origin: resume a caller's stream only at the version that began it

What callers saw: a stream that they took up again went on at another software version; the answer was 200 and looked whole. Change: instances remember the origin of each stream; others ask them; and for the time after a kill of all, the platform has the list of versions at which streams may begin (none begins at an unlisted one) and, while a service has several, the origins that each instance writes every 0.3 s. A single listed version is certain. What is found nowhere is refused with origin_unknown, never guessed from the endpoints that are there; where it may still be found, with a time to come back.

--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -96,10 +96,11 @@
 	retryLimits := front.NewRetryLimits(s, table)
 	tracker := front.NewPoison(signal, set, logger)
 	granter := front.NewGranter(processID, peersClient)
-	server := front.NewServer(table, holder, feeds, roles, picker, tracker, granter, signal, shards, logger)
+	register := front.NewOrigins(s, store, routes, feeds, picker, table, peersClient, logger)
+	server := front.NewServer(table, holder, feeds, roles, picker, tracker, granter, register, signal, shards, logger)
 	gossiper := front.NewGossiper(peersClient, server, s, logger)
 	pool := front.NewPool()
-	serveServer := front.NewForwarder(routes, feeds, picker, tracker, granter, pool, reserver, retryLimits, set, logger)
+	serveServer := front.NewForwarder(routes, feeds, picker, tracker, granter, register, pool, reserver, retryLimits, set, logger)
 	deps := front.Deps{
 		Settings:    s,
 		Listeners:   listeners,
@@ -119,6 +120,7 @@
 		Gossiper:    gossiper,
 		Pool:        pool,
 		Forwarder:   serveServer,
+		Origins:     register,
 	}
 	frontNode := front.New(deps)
 	return frontNode, nil
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -21,6 +21,7 @@
 	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/fleet/peers"
 	"jacinthladder.dev/internal/forward/conns"
+	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/prepay"
 	"jacinthladder.dev/internal/forward/serve"
@@ -82,6 +83,7 @@
 	Gossiper    *peers.Gossiper
 	Pool        *conns.Pool
 	Forwarder   *serve.Server
+	Origins     *origin.Register
 }
 
 // Node is one instance that serves forwarded routes: its servers, its dependencies and the
@@ -113,7 +115,7 @@
 	defer stopLoops()
 	var work sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.Feeds.routes.Run, n.Feeds.endpoints.Run, n.Shards.Run, n.Holder.Run, n.Gossiper.Run, n.syncPayments, n.closeExpired,
+		n.Feeds.routes.Run, n.Feeds.endpoints.Run, n.Shards.Run, n.Holder.Run, n.Gossiper.Run, n.Origins.Run, n.syncPayments, n.closeExpired,
 	} {
 		work.Go(func() { loop(loopCtx) })
 	}
--- a/internal/fleet/front/peers.go
+++ b/internal/fleet/front/peers.go
@@ -15,9 +15,11 @@
 	"jacinthladder.dev/internal/fleet/node"
 	"jacinthladder.dev/internal/fleet/peers"
 	peerwire "jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/poison"
 	"jacinthladder.dev/internal/forward/signal"
+	"jacinthladder.dev/internal/plat/object"
 	"jacinthladder.dev/internal/plat/roster"
 )
 
@@ -45,14 +47,31 @@
 	}
 }
 
+// NewOrigins returns the register of the software versions that began streams. It lists the
+// versions of those services whose responses are streams.
+func NewOrigins(s *setup.Settings, store *object.Store, routes *Routes, f *Feeds, p *picker.Picker, t *member.Table, c *peers.Client, logger log.Interface) *origin.Register {
+	return &origin.Register{
+		Instance: s.Name(), Store: store, WriteRate: s.Forward().WriteRate, Logger: logger,
+		Members: func() int { return t.Others() + 1 },
+		Changed: f.endpoints.Changed, Ask: c.FindOrigin,
+		Versions: func() map[string][]string {
+			versions := map[string][]string{}
+			for _, service := range routes.Table().StreamServices() {
+				versions[service] = p.Versions(service)
+			}
+			return versions
+		},
+	}
+}
+
 // NewServer returns the server that handles the calls of peers. It exchanges the
 // configuration, the entries of endpoints, the IDs of endpoints that are leaving, the rates
 // that endpoints take and what crashes endpoints with them. When a peer reports an endpoint
 // as leaving, the server marks the endpoint as leaving in p.
-func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, roles *Roles, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, news *signal.Signal, shards *ledger.Shards, logger log.Interface) *peers.Server {
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, roles *Roles, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, origins *origin.Register, news *signal.Signal, shards *ledger.Shards, logger log.Interface) *peers.Server {
 	registry := syncOf(f.endpoints)
 	return &peers.Server{
-		Members: t, Holder: h, HandleKeep: shards.Keep, HandlePermit: granter.Handle, News: news.Changed,
+		Members: t, Holder: h, HandleKeep: shards.Keep, HandlePermit: granter.Handle, Origins: origins, News: news.Changed,
 		Spread: f.spread.Changed, Leader: roles.Leader, Followers: roles.Followers,
 		Config: syncOf(f.routes), Registry: &registry,
 		LocalHeartbeat: func() *peerwire.BeatNote {
@@ -62,6 +81,7 @@
 			n.Registry, n.Routes, n.Endpoints = f.endpoints.Version(), routes, endpoints
 			n.Limits = peers.LimitsToWire(p.Limits(time.Now()))
 			n.Traits = peers.TraitsToWire(crashes.Notes(time.Now()))
+			n.Versions = peers.VersionsToWire(origins.Listing())
 			for _, e := range p.Leaving() {
 				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: e.ID, Started: e.StartedAt})
 			}
@@ -70,6 +90,7 @@
 		OnHeartbeat: func(n *peerwire.BeatNote) {
 			p.MergeLimits(peers.LimitsFromWire(n.GetLimits()), time.Now())
 			crashes.Merge(peers.TraitsFromWire(n.GetTraits()), time.Now())
+			origins.Merge(peers.VersionsFromWire(n.GetVersions()))
 			for _, l := range n.GetLeaving() {
 				if p.MarkLeaving(l.GetEndpoint(), l.GetStarted(), time.Now()) {
 					logger.WithFields(log.Fields{"endpoint": l.GetEndpoint(), "source": member.Name(n.GetSelf().GetProcess())}).Info("endpoint: leaving, a peer said so")
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -16,6 +16,7 @@
 	"jacinthladder.dev/internal/fleet/node"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
+	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/poison"
 	"jacinthladder.dev/internal/forward/prepay"
@@ -29,7 +30,7 @@
 // dependencies.
 var ProviderSet = wire.NewSet(
 	node.NewProcessID, Listen, metrics.NewSet, NewClient, NewStore, NewMembers, node.NewClient, NewNews, NewPicker, NewRoutes, NewRoles,
-	NewFeeds, NewPoison, NewGranter, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewForwarder,
+	NewFeeds, NewPoison, NewGranter, NewOrigins, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewForwarder,
 	wire.Struct(new(Deps), "*"), New,
 )
 
@@ -115,9 +116,9 @@
 func NewPool() *conns.Pool { return &conns.Pool{} }
 
 // NewForwarder returns the HTTP handler that forwards callers' requests to endpoints.
-func NewForwarder(routes *Routes, f *Feeds, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
+func NewForwarder(routes *Routes, f *Feeds, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, origins *origin.Register, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
 	return &serve.Server{
-		Table: routes.Table, Picker: p, Poison: crashes, Permit: granter.Acquire, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
+		Table: routes.Table, Picker: p, Poison: crashes, Permit: granter.Acquire, Origins: origins, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
 		RegistryAge: func() time.Duration { return f.endpoints.Age(time.Now()) },
 		Metrics:     serve.NewMetrics(set), Logger: logger,
 	}
--- a/internal/fleet/peers/server.go
+++ b/internal/fleet/peers/server.go
@@ -14,6 +14,7 @@
 	"jacinthladder.dev/coord/permit"
 	"jacinthladder.dev/internal/fleet/ledger"
 	"jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -70,6 +71,8 @@
 	HandleKeep func(r ledger.Record)
 	// HandlePermit, if set, returns the time until a peer may send a request, 0 if it may.
 	HandlePermit func(ctx context.Context, a permit.Ask) time.Duration
+	// Origins, if set, knows which software version began each stream that this instance relays.
+	Origins *origin.Register
 
 	// Spread, if set, returns a channel that is closed when objects have come from the platform
 	// that the followers of this instance should get at once. Leader returns the address
--- /dev/null
+++ b/internal/forward/origin/codec.go
@@ -0,0 +1,134 @@
+package origin
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// digestBytes is the length of a digest. Two of the streams that are remembered at a time have
+// the same one with a probability far below that of a fault of the memory.
+const digestBytes = 12
+
+// digest stands for the ID of a request, which may be long.
+type digest [digestBytes]byte
+
+func digestOf(id string) digest {
+	sum := sha256.Sum256([]byte(id))
+	return digest(sum[:digestBytes])
+}
+
+// versionsJSON is the value of the object that lists versions.
+type versionsJSON struct {
+	Services map[string][]string `json:"services"` // sorted versions by service
+}
+
+// streamsJSON is the value of the object with the origins of one instance's streams.
+type streamsJSON struct {
+	Streams []groupJSON `json:"streams"`
+}
+
+// groupJSON holds the streams with one origin.
+type groupJSON struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	IDs     []byte `json:"ids"` // digests, one after the other; base64 in JSON
+}
+
+// errUnreadable means that the object that lists versions holds something else.
+var errUnreadable = errors.New("origin: the listed versions cannot be read")
+
+// listing holds the listed versions by service.
+type listing map[string][]string
+
+// has reports whether a version of a service is listed.
+func (l listing) has(service, version string) bool { return slices.Contains(l[service], version) }
+
+// with returns the listing with the versions of another one added, and whether there was one to
+// add.
+func (l listing) with(other listing) (listing, bool) {
+	merged, added := listing{}, false
+	maps.Copy(merged, l)
+	for service, versions := range other {
+		for _, v := range versions {
+			if !merged.has(service, v) {
+				merged[service] = append(slices.Clip(merged[service]), v)
+				slices.Sort(merged[service])
+				added = true
+			}
+		}
+	}
+	return merged, added
+}
+
+// anyMixed reports whether a service has several listed versions.
+func (l listing) anyMixed() bool {
+	for _, versions := range l {
+		if len(versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// lostVersion stands in a listing for versions that it may have held before it became unreadable.
+const lostVersion = ""
+
+// withUnreadable returns the listing with a lost version for each of its services and of those
+// given.
+func (l listing) withUnreadable(services map[string][]string) listing {
+	lost := listing{}
+	for _, known := range []map[string][]string{l, services} {
+		for service := range known {
+			lost[service] = []string{lostVersion}
+		}
+	}
+	merged, _ := l.with(lost)
+	return merged
+}
+
+func encodeListing(l listing) ([]byte, error) {
+	data, err := json.Marshal(versionsJSON{Services: l})
+	return data, errors.Wrap(err, "origin: encode the listed versions")
+}
+
+func decodeListing(data []byte) (listing, error) {
+	var j versionsJSON
+	if err := json.Unmarshal(data, &j); err != nil {
+		return nil, errors.Wrap(err, "origin: decode the listed versions")
+	}
+	return j.Services, nil
+}
+
+// encodeStreams encodes the origins of streams.
+func encodeStreams(streams map[digest]Origin) ([]byte, error) {
+	groups := map[Origin][]byte{}
+	for id, o := range streams {
+		groups[o] = append(groups[o], id[:]...)
+	}
+	var j streamsJSON
+	for o, ids := range groups {
+		j.Streams = append(j.Streams, groupJSON{Service: o.Service, Version: o.Version, IDs: ids})
+	}
+	data, err := json.Marshal(j)
+	return data, errors.Wrap(err, "origin: encode origins of streams")
+}
+
+// decodeStreams calls found with each origin in the value of an object.
+func decodeStreams(data []byte, found func(id digest, o Origin)) error {
+	var j streamsJSON
+	if err := json.Unmarshal(data, &j); err != nil {
+		return errors.Wrap(err, "origin: decode origins of streams")
+	}
+	for _, g := range j.Streams {
+		for ids := range slices.Chunk(g.IDs, digestBytes) {
+			if len(ids) == digestBytes && g.Version != "" {
+				found(digest(ids), Origin{Service: g.Service, Version: g.Version})
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forward/origin/find.go
@@ -0,0 +1,154 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrUnknown means that the origin of a stream is known nowhere and will not be.
+	ErrUnknown = errors.New("origin: nobody knows which version began the stream")
+	// ErrUnreachable means that those who may know the origin of a stream could not all be asked.
+	ErrUnreachable = errors.New("origin: not all that may know which version began the stream could be asked")
+)
+
+const (
+	// askTimeout bounds the questions to peers.
+	askTimeout = 250 * time.Millisecond
+	// askHeadStart is the time from the questions to peers to the read from the platform.
+	askHeadStart = 15 * time.Millisecond
+)
+
+// reading is what one read from the platform has shown.
+type reading struct {
+	begunAt time.Time
+	listed  listing
+	streams map[digest]Origin // if the service has several listed versions
+	err     error
+}
+
+// answer is the result of one way to find an origin.
+type answer struct {
+	origin Origin
+	found  bool
+	err    error // why it is not known that there is none
+}
+
+// Find returns the origin of the stream that the request with the given ID began, or with an
+// empty ID that of a stream of which nothing is known. Services are those that the stream may have
+// begun at. It fails with ErrUnknown or ErrUnreachable.
+func (r *Register) Find(ctx context.Context, id string, services []string) (Origin, error) {
+	if id != "" {
+		if o, ok := r.Known(id); ok {
+			return o, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	arrivedAt := time.Now()
+	answers := make(chan answer, 2)
+	ways := 1
+	head := time.Duration(0)
+	peersDone := make(chan struct{})
+	if id != "" {
+		ways, head = 2, askHeadStart
+		go func() {
+			defer close(peersDone)
+			answers <- r.askPeers(ctx, id)
+		}()
+	}
+	go func() {
+		select {
+		case <-time.After(head):
+		case <-peersDone:
+		case <-ctx.Done():
+		}
+		if ctx.Err() == nil {
+			answers <- r.askStore(ctx, digestOf(id), services, arrivedAt)
+		}
+	}()
+	result := error(ErrUnknown)
+	for range ways {
+		var a answer
+		select {
+		case a = <-answers:
+		case <-ctx.Done():
+			return Origin{}, errors.Mark(ctx.Err(), ErrUnreachable)
+		}
+		if a.found {
+			return a.origin, nil
+		}
+		if a.err != nil {
+			result = errors.Mark(a.err, ErrUnreachable)
+		}
+	}
+	return Origin{}, result
+}
+
+// askPeers asks the peers for the origin of a stream.
+func (r *Register) askPeers(ctx context.Context, id string) answer {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	o, found, complete := r.Ask(ctx, id)
+	if !found && !complete {
+		return answer{err: errors.New("origin: not all peers replied")}
+	}
+	return answer{origin: o, found: found}
+}
+
+// askStore looks for the origin of a stream on the platform, in what is read there from the time
+// since on.
+func (r *Register) askStore(ctx context.Context, id digest, services []string, since time.Time) answer {
+	got := r.read(ctx, since)
+	if got.err != nil {
+		return answer{err: got.err}
+	}
+	r.Merge(got.listed)
+	if o, ok := got.streams[id]; ok {
+		return answer{origin: o, found: true}
+	}
+	if len(services) == 1 && len(got.listed[services[0]]) == 1 {
+		return answer{origin: Origin{Service: services[0], Version: got.listed[services[0]][0]}, found: true}
+	}
+	return answer{}
+}
+
+// read reads the listed versions, and the stored origins if a service has several versions. A
+// read that began at the time since or later serves all that wait for one.
+func (r *Register) read(ctx context.Context, since time.Time) reading {
+	r.readMu.Lock()
+	defer r.readMu.Unlock()
+	if !r.lastRead.begunAt.Before(since) {
+		return r.lastRead
+	}
+	ctx = context.WithoutCancel(ctx) // others wait for the result too
+	got := reading{begunAt: time.Now()}
+	got.listed, _, got.err = r.readListing(ctx)
+	if got.err == nil && got.listed.anyMixed() {
+		got.streams, got.err = r.readStreams(ctx)
+	}
+	r.lastRead = got
+	return got
+}
+
+// readStreams reads the stored origins of the streams of all instances.
+func (r *Register) readStreams(ctx context.Context) (map[digest]Origin, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	page, err := r.Store.Watch(ctx, StreamsKind, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	streams := map[digest]Origin{}
+	for _, o := range page.Objects() {
+		if o.Deleted() {
+			continue
+		}
+		if err := decodeStreams(o.Value(), func(id digest, o Origin) { streams[id] = o }); err != nil {
+			r.Logger.WithError(err).WithField("object", o.Name()).Warn("origin: left out stored origins that cannot be read")
+		}
+	}
+	return streams, nil
+}
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -172,6 +172,20 @@
 	return len(p.available[service])
 }
 
+// Versions returns the software versions of the endpoints of a service, with repetitions,
+// also of those that are leaving.
+func (p *Picker) Versions(service string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var versions []string
+	for _, s := range p.endpoints {
+		if s.Service == service {
+			versions = append(versions, s.Version)
+		}
+	}
+	return versions
+}
+
 // Fits reports whether the service has an endpoint that is not leaving to which the request may
 // be sent, whether it has a free slot or not.
 func (p *Picker) Fits(info PickInfo) bool {
@@ -215,11 +229,20 @@
 	// Version, if set, is the software version that the endpoint must have, because one of this
 	// version has begun the response.
 	Version string
+	// Begins, if set, reports whether a response may begin at a software version. It must not
+	// call the picker.
+	Begins func(version string) bool
 }
 
 // fits reports whether a request may be sent to an endpoint of its service at all.
 func (info *PickInfo) fits(s *endpointState) bool {
-	return !slices.Contains(info.Tried, s.ID) && (info.Version == "" || info.Version == s.Version)
+	if slices.Contains(info.Tried, s.ID) {
+		return false
+	}
+	if info.Version != "" {
+		return info.Version == s.Version
+	}
+	return info.Begins == nil || info.Begins(s.Version)
 }
 
 // Pick places a request at the endpoint with the lowest cost and counts the request
--- a/internal/forward/route/table.go
+++ b/internal/forward/route/table.go
@@ -1,8 +1,10 @@
 package route
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -190,6 +192,25 @@
 	return all
 }
 
+// StreamServices returns the names of the services to which routes with streams lead. A nil
+// table has none.
+func (t *Table) StreamServices() []string {
+	if t == nil {
+		return nil
+	}
+	names := map[string]bool{}
+	for _, routes := range t.routes {
+		for _, r := range routes {
+			for _, s := range r.Services {
+				if r.Kind == Stream {
+					names[s.Service] = true
+				}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // Service returns the service with the given name, or nil if the configuration has
 // none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -93,9 +93,13 @@
 // pickInfo describes the request to the picker. A stream that has begun goes on only at the
 // software version that began it.
 func (x *exchange) pickInfo(tried []string) picker.PickInfo {
-	return picker.PickInfo{
+	info := picker.PickInfo{
 		Service: x.service.Name, Request: &x.request, Bytes: len(x.body), Tried: tried, Version: x.version,
 	}
+	if x.Origins != nil && x.route.Kind == route.Stream {
+		info.Begins = func(version string) bool { return x.Origins.Listed(info.Service, version) }
+	}
+	return info
 }
 
 // mayRetry reports whether another endpoint may be tried after an attempt failed
@@ -126,6 +130,8 @@
 		return errFailed // the endpoint's own response is relayed
 	case x.mayHaveRun:
 		return refuse(NoResponse, "the request left and no whole answer came")
+	case x.version != "" && !x.Picker.Fits(x.pickInfo(nil)):
+		return refuse(VersionGone, "no endpoint is left of the software version that began the stream")
 	case x.Picker.Available(x.service.Name) == 0:
 		return refuse(NoCapacity, "no endpoint of the service is known").withRetryAfter(x.retryAfter())
 	}
--- /dev/null
+++ b/internal/forward/serve/origin.go
@@ -0,0 +1,60 @@
+package serve
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/forward/origin"
+	"jacinthladder.dev/internal/forward/route"
+)
+
+// findOrigin finds the software version that began the stream that the request resumes, and
+// returns a refusal if it is not known. The stream goes on at the service at which it began.
+func (x *exchange) findOrigin(ctx context.Context) error {
+	if x.Origins == nil || x.route.Kind != route.Stream || x.request.LastEventID == "" {
+		return nil
+	}
+	var services []string
+	for _, s := range x.route.Services {
+		services = append(services, s.Service)
+	}
+	began := time.Now()
+	o, err := x.Origins.Find(ctx, x.request.Resumes, services)
+	f := log.Fields{
+		"request": x.request.ID, "resumes": limitText(x.request.Resumes), "from": limitText(x.request.LastEventID), "ms": time.Since(began).Milliseconds(),
+	}
+	if err == nil && (!slices.Contains(services, o.Service) || x.table.Service(o.Service) == nil) {
+		err = errors.WithMessagef(origin.ErrUnknown, "the route no longer leads to service %s, where the stream began", o.Service)
+	}
+	if err != nil {
+		f["reason"] = reasonOf(err)
+		x.Logger.WithFields(f).Info("origin: refused to resume a stream")
+		refusal := refuse(OriginUnknown, "it is not known which software version began the stream")
+		if errors.Is(err, origin.ErrUnreachable) {
+			refusal = refusal.withRetryAfter(x.retryAfter())
+		}
+		return refusal
+	}
+	x.service, x.version = x.table.Service(o.Service), o.Version
+	return nil
+}
+
+// noteOrigin records at the first event of the response which version sends it. A stream that is
+// resumed keeps its origin.
+func (x *exchange) noteOrigin(version string) {
+	if x.version == "" {
+		x.version = version
+	}
+	if x.Origins == nil {
+		return
+	}
+	id := x.request.ID
+	if x.request.LastEventID != "" {
+		id = x.request.Resumes
+	}
+	x.Origins.Began(id, origin.Origin{Service: x.service.Name, Version: x.version}, x.deadline)
+}
--- a/internal/forward/serve/refusal.go
+++ b/internal/forward/serve/refusal.go
@@ -29,6 +29,8 @@
 	PromptBlocked     Code = "prompt_blocked"  // endpoints crash under a part of the prompt
 	RequestBlocked    Code = "request_blocked" // endpoints crash under the request itself
 	NoCapacity        Code = "no_capacity"     // no endpoint took the request, so it did not run
+	OriginUnknown     Code = "origin_unknown"  // it is not known which software version began the stream that the request resumes
+	VersionGone       Code = "version_gone"    // no endpoint of the version that began the stream is left
 	NoResponse        Code = "no_answer"       // the request may have run, but no complete response arrived
 	Timeout           Code = "timeout"         // like NoResponse, at the deadline of the request
 )
@@ -47,6 +49,8 @@
 	PromptBlocked:     http.StatusServiceUnavailable,
 	RequestBlocked:    http.StatusServiceUnavailable,
 	NoCapacity:        http.StatusServiceUnavailable,
+	OriginUnknown:     http.StatusServiceUnavailable,
+	VersionGone:       http.StatusServiceUnavailable,
 	NoResponse:        http.StatusBadGateway,
 	Timeout:           http.StatusGatewayTimeout,
 }
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -128,7 +128,7 @@
 			}
 			if r.events == 0 {
 				pk.MarkPrefilled()
-				r.x.version = pk.Endpoint().Version
+				r.x.noteOrigin(pk.Endpoint().Version)
 				r.x.noteFirstEvent()
 			}
 			r.events++
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -16,6 +16,7 @@
 	"jacinthladder.dev/coord/retry"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
+	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/poison"
 	"jacinthladder.dev/internal/forward/prepay"
@@ -49,7 +50,9 @@
 	// Permit, if set, gets a permit for one request to an endpoint that takes only a number of
 	// requests per second from all instances. It returns 0 if there is one, and otherwise
 	// the time after which to ask again.
-	Permit   func(ctx context.Context, key string, perSecond float64) time.Duration
+	Permit func(ctx context.Context, key string, perSecond float64) time.Duration
+	// Origins, if set, knows which software version began each stream.
+	Origins  *origin.Register
 	Pool     *conns.Pool
 	Reserver *prepay.Reserver
 	// Retries returns the window that counts the requests to a service and limits
@@ -210,11 +213,14 @@
 	return nil
 }
 
-// serve reserves the tokens of the request, sends the request to endpoints, relays
+// serve finds out which version began a stream that is resumed, reserves the tokens of the request, sends the request to endpoints, relays
 // the response and settles the reservation.
 func (x *exchange) serve() error {
 	ctx, cancel := context.WithDeadline(x.context(), x.deadline)
 	defer cancel()
+	if err := x.findOrigin(ctx); err != nil {
+		return err
+	}
 	if err := x.reserve(ctx); err != nil {
 		return err
 	}
