forward/origin: list versions as soon as the configuration is known; kinds of its own that the platform takes

Change: a change of the configuration starts the check too, an instance is not ready before it, and the kinds are named software and origins.

--- a/internal/fleet/front/feeds.go
+++ b/internal/fleet/front/feeds.go
@@ -38,10 +38,11 @@
 
 // Feeds holds the two change feeds through which an instance follows the platform's
 // objects: the configuration with the routes, and the endpoint registry. Spread is raised when
-// objects have come from the platform that the followers of this instance should get.
+// objects have come from the platform that the followers of this instance should get, and applied
+// when objects were applied, whatever they come from.
 type Feeds struct {
 	routes, endpoints *feed.Feed
-	spread            signal.Signal
+	spread, applied   signal.Signal
 }
 
 // NewFeeds returns feeds that apply each change of the configuration to r and p, and each
@@ -56,12 +57,14 @@
 	f.routes.Role, f.endpoints.Role = roles.Role, roles.Role
 	f.routes.Apply = func(source string, o object.Object) {
 		applyRoutes(source, o, r, p, logger)
+		f.applied.Raise()
 		f.passOn(source, roles)
 	}
 	f.endpoints.DeleteGrace = deleteGrace
 	taken := fleetAddresses(s)
 	f.endpoints.Apply = func(source string, o object.Object) {
 		applyEndpoint(source, o, p, taken, logger)
+		f.applied.Raise()
 		f.passOn(source, roles)
 	}
 	return f
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -148,13 +148,16 @@
 }
 
 // awaitStart waits, at most for startTimeout, until this instance has received its first
-// configuration and has tried once to pay in the budgets of that configuration.
+// configuration, has tried once to pay in the budgets of that configuration, and knows that streams
+// may begin at the versions of the endpoints.
 func (n *Node) awaitStart(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	select {
-	case <-n.firstPayment:
-	case <-ctx.Done():
+	for _, done := range []<-chan struct{}{n.firstPayment, n.Origins.Ready()} {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/internal/fleet/front/peers.go
+++ b/internal/fleet/front/peers.go
@@ -53,7 +53,7 @@
 	return &origin.Register{
 		Instance: s.Name(), Store: store, WriteRate: s.Forward().WriteRate, Logger: logger,
 		Members: func() int { return t.Others() + 1 },
-		Changed: f.endpoints.Changed, Ask: c.FindOrigin,
+		Changed: f.applied.Changed, Ask: c.FindOrigin,
 		Versions: func() map[string][]string {
 			versions := map[string][]string{}
 			for _, service := range routes.Table().StreamServices() {
--- a/internal/forward/origin/codec.go
+++ b/internal/forward/origin/codec.go
@@ -125,7 +125,7 @@
 	}
 	for _, g := range j.Streams {
 		for ids := range slices.Chunk(g.IDs, digestBytes) {
-			if len(ids) == digestBytes && g.Version != "" {
+			if len(ids) == digestBytes {
 				found(digest(ids), Origin{Service: g.Service, Version: g.Version})
 			}
 		}
--- a/internal/forward/origin/find.go
+++ b/internal/forward/origin/find.go
@@ -36,13 +36,21 @@
 	err    error // why it is not known that there is none
 }
 
+// known returns the origin, or ErrUnknown if it is one that is remembered as unknown.
+func (o Origin) known() (Origin, error) {
+	if o.Version == "" {
+		return Origin{}, ErrUnknown
+	}
+	return o, nil
+}
+
 // Find returns the origin of the stream that the request with the given ID began, or with an
 // empty ID that of a stream of which nothing is known. Services are those that the stream may have
 // begun at. It fails with ErrUnknown or ErrUnreachable.
 func (r *Register) Find(ctx context.Context, id string, services []string) (Origin, error) {
 	if id != "" {
 		if o, ok := r.Known(id); ok {
-			return o, nil
+			return o.known()
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -78,7 +86,7 @@
 			return Origin{}, errors.Mark(ctx.Err(), ErrUnreachable)
 		}
 		if a.found {
-			return a.origin, nil
+			return a.origin.known()
 		}
 		if a.err != nil {
 			result = errors.Mark(a.err, ErrUnreachable)
--- a/internal/forward/origin/register.go
+++ b/internal/forward/origin/register.go
@@ -16,10 +16,10 @@
 
 const (
 	// VersionsKind is the kind of the object that lists versions, and versionsName its name.
-	VersionsKind = "versions"
+	VersionsKind = "software"
 	versionsName = "current"
 	// StreamsKind is the kind of the objects that hold origins of streams, one for each instance.
-	StreamsKind = "streams"
+	StreamsKind = "origins"
 )
 
 const (
@@ -48,7 +48,7 @@
 	WriteRate int                        // writes per second that the platform accepts, 0 if not known
 	Members   func() int                 // number of live instances
 	Versions  func() map[string][]string // versions of the known endpoints, by service
-	Changed   func() <-chan struct{}     // closed at the next change of the endpoints
+	Changed   func() <-chan struct{}     // closed at the next change of what Versions returns
 	// Ask asks a peer after the other for the origin of a stream, and returns it if one knows it.
 	// Complete reports that all peers have replied.
 	Ask    func(ctx context.Context, id string) (o Origin, found, complete bool)
@@ -57,7 +57,8 @@
 	streams book
 
 	mu     sync.Mutex
-	listed listing // versions that are known to be listed
+	listed listing       // versions that are known to be listed
+	ready  chan struct{} // see Ready
 
 	readMu   sync.Mutex // held during a read for Find, so that those who wait share the next one
 	lastRead reading
@@ -74,9 +75,10 @@
 
 // Began remembers that a stream began. ID is that of the request that brought the first event, and
 // due the time by which its response is due. A stream that has been resumed is remembered
-// again, by the ID of the request that brought the first event.
+// again, by the ID of the request that brought the first event. An origin without a version is
+// remembered as unknown.
 func (r *Register) Began(id string, o Origin, due time.Time) {
-	if id != "" && o.Version != "" {
+	if id != "" {
 		r.streams.add(digestOf(id), entry{Origin: o, until: due.Add(keepTime)}, time.Now())
 	}
 }
@@ -91,6 +93,16 @@
 	return version == "" || r.listed.has(service, version)
 }
 
+// Ready returns a channel that is closed once the versions of the known endpoints are listed.
+func (r *Register) Ready() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ready == nil {
+		r.ready = make(chan struct{})
+	}
+	return r.ready
+}
+
 // Listing returns the versions that are known to be listed, by service.
 func (r *Register) Listing() map[string][]string {
 	r.mu.Lock()
@@ -118,10 +130,16 @@
 
 // listVersions lists the versions of the endpoints until ctx ends.
 func (r *Register) listVersions(ctx context.Context) {
+	r.Ready()
+	ready := sync.OnceFunc(func() { close(r.ready) })
 	for ctx.Err() == nil {
 		changed := r.Changed()
 		wait := listInterval
-		if err := r.listNow(ctx); err != nil && ctx.Err() == nil {
+		err := r.listNow(ctx)
+		if err == nil && len(r.Versions()) > 0 {
+			ready()
+		}
+		if err != nil && ctx.Err() == nil {
 			r.Logger.WithError(err).Warn("origin: could not list the versions of endpoints, will retry")
 			wait, changed = listRetry/2+rand.N(listRetry/2), nil
 		}
--- a/internal/forward/origin/register_test.go
+++ b/internal/forward/origin/register_test.go
@@ -178,7 +178,7 @@
 	f.waitFor(t, "both instances have stored origins", func() bool {
 		f.platform.mu.Lock()
 		defer f.platform.mu.Unlock()
-		return f.objects["streams/a"].Version() > 0 && f.objects["streams/b"].Version() > 0
+		return f.objects[StreamsKind+"/a"].Version() > 0 && f.objects[StreamsKind+"/b"].Version() > 0
 	})
 	f.kill("a")
 	f.kill("b")
@@ -245,13 +245,12 @@
 
 func TestUnreadableObjectsAreReplaced(t *testing.T) {
 	f := newFleet(t)
-	for name, value := range map[string]string{"versions/current": "[[[", "streams/a": `{"streams":7}`, "streams/other": `{"streams":[{"service":"s","version":"v9","ids":"AAAA"}]}`} {
-		kind, n := name[:len(name)-len("/current")], "current"
-		if kind != VersionsKind {
-			kind, n = StreamsKind, name[len("streams/"):]
-		}
-		f.version++
-		f.objects[name] = object.New(kind, n, f.version, []byte(value))
+	for _, o := range []object.Object{
+		object.New(VersionsKind, versionsName, 1, []byte("[[[")),
+		object.New(StreamsKind, "a", 2, []byte(`{"streams":7}`)),
+		object.New(StreamsKind, "other", 3, []byte(`{"streams":[{"service":"s","version":"v9","ids":"AAAA"}]}`)),
+	} {
+		f.objects[o.Kind()+"/"+o.Name()], f.version = o, o.Version()
 	}
 	a := f.start("a")
 	f.setVersions(t, a, "v1")
@@ -262,7 +261,7 @@
 	f.waitFor(t, "origins are stored", func() bool {
 		f.platform.mu.Lock()
 		defer f.platform.mu.Unlock()
-		return f.objects["streams/a"].Version() > 3
+		return f.objects[StreamsKind+"/a"].Version() > 3
 	})
 	f.kill("a")
 	if v, err := find(f.start("b"), "q1"); v != "v1" || err != nil {
