forward: an endpoint that may have been replaced unnoticed begins no stream that goes on elsewhere

Cause: until the new entry arrives, the instance takes the new process for the old one. Ruled out: take-ups (all of the other cases hold). Change: when no connection to an endpoint can be opened (tried 30 ms after a stream broke off, too), its version is in doubt until the registry was confirmed after the first new connection, or a response comes on an older one; a stream that begins meanwhile is recorded as one of unknown origin, and none goes on there.

--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -28,6 +28,7 @@
 	nc          net.Conn
 	limit       *headerLimit
 	br          *bufio.Reader // reads from nc through limit
+	openedAt    time.Time
 	idleSince   time.Time     // when the connection was last put into the pool
 	idleTimeout time.Duration // how long the connection may stay idle in the pool
 	reused      bool          // the connection has served a request before
@@ -38,12 +39,15 @@
 
 func newConn(address string, nc net.Conn) *Conn {
 	limit := &headerLimit{reader: nc}
-	return &Conn{address: address, nc: nc, limit: limit, br: bufio.NewReader(limit), idleTimeout: defaultIdleTimeout}
+	return &Conn{address: address, nc: nc, openedAt: time.Now(), limit: limit, br: bufio.NewReader(limit), idleTimeout: defaultIdleTimeout}
 }
 
 // Reused reports whether the connection has served a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// OpenedAt returns when the connection was opened.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // Retire makes Pool.Put close the connection, because the endpoint has sent a response on it
 // that belongs to no request or to another one.
 func (c *Conn) Retire() { c.closing = true }
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -39,6 +39,7 @@
 	failRatioAt    time.Time    // when the last result was recorded
 	incompletes    int          // incomplete responses since the last success
 	ejectedUntil   time.Time    // end of the ejection
+	doubt          doubt        // whether another endpoint has taken its place unnoticed
 	busyUntil      time.Time    // until when the endpoint wants no requests
 	limit          statedLimit  // rate that the endpoint takes from all instances
 	limitChangedAt time.Time    // when the limit last changed, zero if it never did
@@ -72,7 +73,7 @@
 }
 
 // Update adds the registry entry of an endpoint, or replaces it, and reports whether
-// the entry changed. If the address or the start time differs, the picker forgets
+// the entry changed. If the address, the start time or the version differs, the picker forgets
 // the results and the cached prompt parts that it has observed at the endpoint. An
 // endpoint that was known to be leaving stays so, whatever a later entry says, until
 // its start time differs.
@@ -88,7 +89,7 @@
 	if s != nil && s.Endpoint == e {
 		return false
 	}
-	if s == nil || s.Address != e.Address || s.StartedAt != e.StartedAt {
+	if s == nil || s.Address != e.Address || s.StartedAt != e.StartedAt || s.Version != e.Version {
 		s = &endpointState{cache: newPromptCache()}
 		p.endpoints[e.ID] = s
 	}
@@ -209,6 +210,8 @@
 	prompt       []meta.Part // parts of the prompt of the request
 	queuedTokens int64       // prompt tokens of the request that the engine has to prefill
 	cachedTokens int64       // prompt tokens of the request that the engine is assumed to have cached
+	registryAt   time.Time   // PickInfo.RegistryAt
+	doubtful     bool        // the endpoint was in doubt when it was picked
 	prefilled    bool        // queuedTokens has been subtracted from the queue of the endpoint
 }
 
@@ -232,15 +235,18 @@
 	// Begins, if set, reports whether a response may begin at a software version. It must not
 	// call the picker.
 	Begins func(version string) bool
+	// RegistryAt is when the platform last confirmed what this instance knows of endpoints.
+	RegistryAt time.Time
 }
 
-// fits reports whether a request may be sent to an endpoint of its service at all.
+// fits reports whether a request may be sent to an endpoint of its service at all. A stream does not
+// go on at an endpoint whose version is in doubt.
 func (info *PickInfo) fits(s *endpointState) bool {
 	if slices.Contains(info.Tried, s.ID) {
 		return false
 	}
 	if info.Version != "" {
-		return info.Version == s.Version
+		return info.Version == s.Version && !s.doubt.holds(info.RegistryAt)
 	}
 	return info.Begins == nil || info.Begins(s.Version)
 }
@@ -264,7 +270,7 @@
 		candidates = append(candidates, place.Candidate{
 			Slots: s.Slots, Running: s.running, QueuedTokens: s.queuedTokens, CachedTokens: s.cache.cachedTokens(info.Request.Parts),
 			Preferred: s == preferred,
-			FailRatio: s.currentFailRatio(now), CrossZone: s.Zone != p.zone, WarmingUp: now.Before(s.warmUntil), Ejected: now.Before(s.ejectedUntil),
+			FailRatio: s.currentFailRatio(now), CrossZone: s.Zone != p.zone, WarmingUp: now.Before(s.warmUntil), Ejected: now.Before(s.ejectedUntil) || info.Begins != nil && s.doubt.holds(info.RegistryAt),
 			Busy: now.Before(s.closedUntil()),
 		})
 	}
@@ -276,7 +282,8 @@
 		return nil
 	}
 	s := available[i]
-	pk := &Pick{picker: p, state: s, prompt: info.Request.Parts, cachedTokens: candidates[i].CachedTokens}
+	pk := &Pick{picker: p, state: s, prompt: info.Request.Parts, cachedTokens: candidates[i].CachedTokens, registryAt: info.RegistryAt}
+	pk.doubtful = s.doubt.holds(info.RegistryAt)
 	pk.queuedTokens = max(info.Request.PromptTokens-pk.cachedTokens, 0)
 	s.running++
 	s.queuedTokens += pk.queuedTokens
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -69,6 +69,9 @@
 		pk.End(x.pickResult(ctx, err), time.Now())
 		x.logAttempt(pk, err)
 		x.noteCrash(ctx, pk, err)
+		if ctx.Err() == nil && errors.Is(err, errNotConnected) {
+			pk.Broken(time.Now())
+		}
 		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
 			return x.finalError(ctx, err)
 		}
@@ -84,7 +87,7 @@
 // pick picks an endpoint that is not among those tried. It returns nil if there is none
 // with a free slot or if ctx is done.
 func (x *exchange) pick(ctx context.Context, tried []string) *picker.Pick {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || x.originUnknown {
 		return nil
 	}
 	return x.Picker.Pick(x.pickInfo(tried), time.Now())
@@ -99,6 +102,9 @@
 	if x.Origins != nil && x.route.Kind == route.Stream {
 		info.Begins = func(version string) bool { return x.Origins.Listed(info.Service, version) }
 	}
+	if x.RegistryAge != nil {
+		info.RegistryAt = time.Now().Add(-x.RegistryAge())
+	}
 	return info
 }
 
@@ -295,6 +301,7 @@
 	conn.SetIdleTimeout(header.IdleTimeout)
 	x.received = newReceipt(resp, header)
 	x.noteState(pk)
+	pk.Responded(conn.OpenedAt())
 	x.Poison.Alive(incarnation(pk), time.Now())
 	if header.NotRun {
 		return x.discard(resp), errNotRun
--- a/internal/forward/serve/crash.go
+++ b/internal/forward/serve/crash.go
@@ -68,11 +68,18 @@
 		}
 		endpoint, account, begun := incarnation(pk), x.accountName(), x.received.status != 0
 		crash := func() { x.Poison.Crash(endpoint, account, traits, begun, now) }
-		if !begun && now.Sub(x.sentAt) < minServiceTime {
-			x.ifGone(pk.Endpoint().Address, crash)
-			return
+		early := !begun && now.Sub(x.sentAt) < minServiceTime
+		if !early {
+			crash()
+		}
+		if early || x.route.Kind == route.Stream {
+			x.ifGone(pk.Endpoint().Address, func() {
+				pk.Broken(time.Now())
+				if early {
+					crash()
+				}
+			})
 		}
-		crash()
 	case !x.Poison.Empty() && (err == nil || errors.Is(err, errFailed)):
 		x.Poison.Sound(x.traits(), now)
 	}
@@ -86,10 +93,10 @@
 	maxGoneChecks = 32
 )
 
-// ifGone calls crash, in the background, if nothing listens at the address of an endpoint that
+// ifGone calls gone, in the background, if nothing listens at the address of an endpoint that
 // has just closed a connection. A connection that had died before, or was one too many, is closed as
 // soon, but then the endpoint accepts another one.
-func (s *Server) ifGone(address string, crash func()) {
+func (s *Server) ifGone(address string, gone func()) {
 	if s.goneChecks.Add(1) > maxGoneChecks {
 		s.goneChecks.Add(-1)
 		return
@@ -99,10 +106,10 @@
 		time.Sleep(goneCheckDelay)
 		conn, err := s.Pool.Get(context.Background(), address, true)
 		if err != nil {
-			crash()
+			gone()
 			return
 		}
-		conn.Close()
+		s.Pool.Put(conn)
 	})
 }
 
--- a/internal/forward/serve/origin.go
+++ b/internal/forward/serve/origin.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/internal/forward/origin"
+	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/route"
 )
 
@@ -44,17 +45,23 @@
 }
 
 // noteOrigin records at the first event of the response which version sends it. A stream that is
-// resumed keeps its origin.
-func (x *exchange) noteOrigin(version string) {
+// resumed keeps its origin. If the version is in doubt, the origin is recorded as unknown, and the
+// stream does not go on elsewhere.
+func (x *exchange) noteOrigin(pk *picker.Pick) {
 	if x.version == "" {
-		x.version = version
+		x.version = pk.Endpoint().Version
+		x.originUnknown = pk.Doubtful()
 	}
 	if x.Origins == nil {
 		return
 	}
+	o := origin.Origin{Service: x.service.Name, Version: x.version}
+	if x.originUnknown {
+		o.Version = ""
+	}
 	id := x.request.ID
 	if x.request.LastEventID != "" {
 		id = x.request.Resumes
 	}
-	x.Origins.Began(id, origin.Origin{Service: x.service.Name, Version: x.version}, x.deadline)
+	x.Origins.Began(id, o, x.deadline)
 }
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -128,7 +128,7 @@
 			}
 			if r.events == 0 {
 				pk.MarkPrefilled()
-				r.x.noteOrigin(pk.Endpoint().Version)
+				r.x.noteOrigin(pk)
 				r.x.noteFirstEvent()
 			}
 			r.events++
@@ -202,13 +202,15 @@
 		return t
 	}
 	t.gap = max(3*x.route.MaxEventGap, minGapTimeout)
-	e := pk.Endpoint()
-	info := x.pickInfo(append(slices.Clip(x.tried), e.ID))
+	info := x.pickInfo(append(slices.Clip(x.tried), pk.Endpoint().ID))
 	t.timer = time.AfterFunc(max(x.route.Objective, minResponseTimeout), func() {
 		// The connection is closed only if another endpoint may be tried. Without a
 		// retry left, a late response is better than none.
 		if t.begun.Load() {
-			info.Version = e.Version
+			if x.originUnknown {
+				return
+			}
+			info.Version = x.version
 		}
 		if x.Picker.Fits(info) && x.Retries(x.service.Name).AllowRetry(time.Now()) {
 			t.fired.Store(true)
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -95,16 +95,17 @@
 	billedTokens int64     // tokens spent by the request, set when the reservation is settled
 	deadline     time.Time // time by which the response must be complete
 
-	attempts   int       // number of endpoints to which the request, or a part of it, may have been sent
-	tried      []string  // IDs of the endpoints that were tried and are not picked again
-	addresses  []string  // addresses of these endpoints, and of the present one
-	mayHaveRun bool      // the request may have run at an endpoint
-	relay      *relay    // writes the response to the caller
-	lastErr    error     // error of the last failed attempt
-	sentAt     time.Time // when the current attempt was sent, zero before
-	version    string    // software version of the endpoint that began the stream, empty before the first event
-	sentFrom   string    // ID of the event after which the current attempt resumes the stream, empty if it begins one
-	received   receipt   // describes the response of the current attempt
+	attempts      int       // number of endpoints to which the request, or a part of it, may have been sent
+	tried         []string  // IDs of the endpoints that were tried and are not picked again
+	addresses     []string  // addresses of these endpoints, and of the present one
+	mayHaveRun    bool      // the request may have run at an endpoint
+	relay         *relay    // writes the response to the caller
+	lastErr       error     // error of the last failed attempt
+	sentAt        time.Time // when the current attempt was sent, zero before
+	version       string    // software version of the endpoint that began the stream, empty before the first event
+	originUnknown bool      // the stream has begun at an endpoint whose version is in doubt
+	sentFrom      string    // ID of the event after which the current attempt resumes the stream, empty if it begins one
+	received      receipt   // describes the response of the current attempt
 }
 
 // ServeHTTP forwards one request to an endpoint and relays the response, or sends a
