forward/conns, fleet/tunnel: reach endpoints by way of a peer where the own path is cut

What callers saw: instances that are cut off from all endpoints, while callers, the platform and their peers reach them, served none of their first tries, and held them up to 2.1 s. Change: if a new connection is not open after 30 ms, or is refused, a peer is asked to open one too, and the first one wins; nothing has been sent by then, so it is safe for requests that may run once. An endpoint that has not responded to a request on a kept connection is checked in the same way. What is not reached directly goes by a peer and is tried again each second. If several are not reached and none is heard from, no kept connection is used, and if no peer helps either, requests are refused at once. Tunnels are framed, so that a peer that dies is no end of a response. Crashes are not booked on relayed requests.

--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -97,9 +97,10 @@
 	tracker := front.NewPoison(signal, set, logger)
 	granter := front.NewGranter(processID, peersClient)
 	register := front.NewOrigins(s, store, routes, feeds, picker, table, peersClient, logger)
-	server := front.NewServer(table, holder, feeds, roles, picker, tracker, granter, register, signal, shards, logger)
+	pool := front.NewPool(peersClient, set, logger)
+	handler := front.NewTunnels(picker, pool, set)
+	server := front.NewServer(table, holder, feeds, roles, picker, tracker, granter, register, handler, signal, shards, logger)
 	gossiper := front.NewGossiper(peersClient, server, s, logger)
-	pool := front.NewPool()
 	serveServer := front.NewForwarder(routes, feeds, picker, tracker, granter, register, pool, reserver, retryLimits, set, logger)
 	deps := front.Deps{
 		Settings:    s,
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -308,5 +308,6 @@
 		return err
 	}
 	n.Forwarder.Wait()
+	n.Server.Tunnels.Wait(ctx)
 	return nil
 }
--- a/internal/fleet/front/peers.go
+++ b/internal/fleet/front/peers.go
@@ -15,6 +15,7 @@
 	"jacinthladder.dev/internal/fleet/node"
 	"jacinthladder.dev/internal/fleet/peers"
 	peerwire "jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/fleet/tunnel"
 	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/poison"
@@ -68,10 +69,10 @@
 // configuration, the entries of endpoints, the IDs of endpoints that are leaving, the rates
 // that endpoints take and what crashes endpoints with them. When a peer reports an endpoint
 // as leaving, the server marks the endpoint as leaving in p.
-func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, roles *Roles, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, origins *origin.Register, news *signal.Signal, shards *ledger.Shards, logger log.Interface) *peers.Server {
+func NewServer(t *member.Table, h *escrow.Holder, f *Feeds, roles *Roles, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, origins *origin.Register, tunnels *tunnel.Handler, news *signal.Signal, shards *ledger.Shards, logger log.Interface) *peers.Server {
 	registry := syncOf(f.endpoints)
 	return &peers.Server{
-		Members: t, Holder: h, HandleKeep: shards.Keep, HandlePermit: granter.Handle, Origins: origins, News: news.Changed,
+		Members: t, Holder: h, HandleKeep: shards.Keep, HandlePermit: granter.Handle, Origins: origins, Tunnels: tunnels, News: news.Changed,
 		Spread: f.spread.Changed, Leader: roles.Leader, Followers: roles.Followers,
 		Config: syncOf(f.routes), Registry: &registry,
 		LocalHeartbeat: func() *peerwire.BeatNote {
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -14,6 +15,8 @@
 	"jacinthladder.dev/coord/permit"
 	"jacinthladder.dev/internal/conf/setup"
 	"jacinthladder.dev/internal/fleet/node"
+	"jacinthladder.dev/internal/fleet/peers"
+	"jacinthladder.dev/internal/fleet/tunnel"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
 	"jacinthladder.dev/internal/forward/origin"
@@ -30,7 +33,7 @@
 // dependencies.
 var ProviderSet = wire.NewSet(
 	node.NewProcessID, Listen, metrics.NewSet, NewClient, NewStore, NewMembers, node.NewClient, NewNews, NewPicker, NewRoutes, NewRoles,
-	NewFeeds, NewPoison, NewGranter, NewOrigins, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewForwarder,
+	NewFeeds, NewPoison, NewGranter, NewOrigins, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewTunnels, NewForwarder,
 	wire.Struct(new(Deps), "*"), New,
 )
 
@@ -112,8 +115,43 @@
 	return p
 }
 
-// NewPool returns a pool of connections to endpoints, which is empty at first.
-func NewPool() *conns.Pool { return &conns.Pool{} }
+// NewPool returns a pool of connections to endpoints, which is empty at first. An endpoint that this
+// instance does not reach by its own path is reached by way of a peer.
+func NewPool(c *peers.Client, set *metrics.Set, logger log.Interface) *conns.Pool {
+	relayed := set.GetOrCreateCounter("jacinthladder_connections_relayed_total")
+	return &conns.Pool{
+		Relay: func(ctx context.Context, address string) (net.Conn, error) {
+			nc, err := c.Relay(ctx, address)
+			if err == nil {
+				relayed.Inc()
+			}
+			return nc, err
+		},
+		PathChanged: func(address string, reached, cutOff bool) {
+			l := logger.WithFields(log.Fields{"address": address, "cutoff": cutOff})
+			if reached {
+				l.Info("path: an endpoint is reached again")
+				return
+			}
+			l.Warn("path: an endpoint is not reached directly, trying peers")
+		},
+	}
+}
+
+// NewTunnels returns the handler that opens connections to endpoints for peers.
+func NewTunnels(p *picker.Picker, pool *conns.Pool, set *metrics.Set) *tunnel.Handler {
+	return &tunnel.Handler{
+		Known: p.KnowsAddress,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			nc, err := pool.DialOwn(ctx, address)
+			if errors.Is(err, conns.ErrNoPath) {
+				err = errors.Mark(err, tunnel.ErrCutOff)
+			}
+			return nc, err
+		},
+		Opened: set.GetOrCreateCounter("jacinthladder_tunnels_opened_total").Inc,
+	}
+}
 
 // NewForwarder returns the HTTP handler that forwards callers' requests to endpoints.
 func NewForwarder(routes *Routes, f *Feeds, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, origins *origin.Register, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,6 +42,9 @@
 type Client struct {
 	table  *member.Table
 	client *http.Client
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+
+	lastRelay atomic.Pointer[string] // address of the peer that opened the last tunnel
 
 	mu    sync.Mutex
 	stubs map[string]wire.Peers // Twirp clients by address of the peer
@@ -54,6 +58,7 @@
 	}
 	return &Client{
 		table:  table,
+		dial:   dial,
 		client: &http.Client{Transport: framedTransport{&http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 8}}},
 		stubs:  map[string]wire.Peers{},
 	}
--- a/internal/fleet/peers/server.go
+++ b/internal/fleet/peers/server.go
@@ -14,6 +14,7 @@
 	"jacinthladder.dev/coord/permit"
 	"jacinthladder.dev/internal/fleet/ledger"
 	"jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/fleet/tunnel"
 	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/plat/object"
 )
@@ -71,6 +72,8 @@
 	HandleKeep func(r ledger.Record)
 	// HandlePermit, if set, returns the time until a peer may send a request, 0 if it may.
 	HandlePermit func(ctx context.Context, a permit.Ask) time.Duration
+	// Tunnels, if set, opens connections to endpoints for peers that have no path to them.
+	Tunnels *tunnel.Handler
 	// Origins, if set, knows which software version began each stream that this instance relays.
 	Origins *origin.Register
 
@@ -114,8 +117,17 @@
 	return &wire.PermitAnswer{Wait: int64(math.Ceil(float64(wait) / float64(time.Microsecond)))}, nil
 }
 
-// Handler returns the HTTP handler for the Twirp calls of peers.
-func (s *Server) Handler() http.Handler { return wire.NewPeersServer(s) }
+// Handler returns the HTTP handler for the calls of peers.
+func (s *Server) Handler() http.Handler {
+	calls := wire.NewPeersServer(s)
+	if s.Tunnels == nil {
+		return calls
+	}
+	mux := http.NewServeMux()
+	mux.Handle(tunnel.Path, s.Tunnels)
+	mux.Handle("/", calls)
+	return mux
+}
 
 // Beat processes the heartbeat of a peer and returns the heartbeat of this instance, with
 // members that the peer lacks. If the peer has newer objects, Beat queues a fetch from it.
--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -31,6 +31,7 @@
 	openedAt    time.Time
 	idleSince   time.Time     // when the connection was last put into the pool
 	idleTimeout time.Duration // how long the connection may stay idle in the pool
+	relayed     bool          // the connection leads by way of a peer
 	reused      bool          // the connection has served a request before
 	closing     bool          // the connection is closed after the response, by the endpoint or by Retire
 	unread      bool          // the body of the last response was not read to its end
@@ -45,6 +46,9 @@
 // Reused reports whether the connection has served a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Relayed reports whether the connection leads by way of a peer. Such a connection is not reused.
+func (c *Conn) Relayed() bool { return c.relayed }
+
 // OpenedAt returns when the connection was opened.
 func (c *Conn) OpenedAt() time.Time { return c.openedAt }
 
@@ -158,7 +162,7 @@
 // keeps it open, the last request was fully written, the body of the last response was
 // read to its end, and no unread bytes are buffered.
 func (c *Conn) reusable() bool {
-	if c.closing || c.unread || c.br.Buffered() > 0 {
+	if c.closing || c.relayed || c.unread || c.br.Buffered() > 0 {
 		return false
 	}
 	if c.bodyResult == nil {
--- a/internal/forward/conns/pool.go
+++ b/internal/forward/conns/pool.go
@@ -23,7 +23,14 @@
 type Pool struct {
 	// Dial opens a connection to an address; nil means plain TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Relay, if set, opens a connection to an address by way of a peer. It fails with ErrNoPath if no
+	// peer reaches endpoints.
+	Relay func(ctx context.Context, address string) (net.Conn, error)
+	// PathChanged, if set, is called when an endpoint is no longer reached by the own path, or
+	// reached again. CutOff says whether this instance reaches no endpoint by its own path.
+	PathChanged func(address string, reached, cutOff bool)
 
+	paths  paths
 	mu     sync.Mutex
 	idle   map[string][]*Conn // by address, most recently used last
 	closed bool
@@ -32,9 +39,9 @@
 // Get returns a connection to the endpoint at an address. It returns the most
 // recently used healthy idle connection and closes the unhealthy ones that it finds
 // before it. It opens a new connection if there is no healthy one, or if fresh is
-// true. If Get returns an error, nothing was sent to the endpoint.
+// true, by way of a peer if the endpoint is not reached by the own path. If Get returns an error, nothing was sent to the endpoint.
 func (p *Pool) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
-	for !fresh {
+	for !fresh && !p.paths.cutOff() {
 		c := p.pop(address)
 		if c == nil {
 			break
@@ -45,17 +52,7 @@
 		}
 		c.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	dial := p.Dial
-	if dial == nil {
-		dial = dialTCP
-	}
-	nc, err := dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(address, nc), nil
+	return p.open(ctx, address)
 }
 
 // Put returns a connection to the pool for reuse. It closes the connection instead
@@ -78,9 +75,20 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// closeIdle closes the idle connections to an address.
+func (p *Pool) closeIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // CloseExpired closes the idle connections that have reached their idle timeout and
 // removes them from the pool.
 func (p *Pool) CloseExpired(now time.Time) {
+	p.paths.forget(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, all := range p.idle {
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -187,6 +187,18 @@
 	return versions
 }
 
+// KnowsAddress reports whether an endpoint of any service is at an address.
+func (p *Picker) KnowsAddress(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.endpoints {
+		if s.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Fits reports whether the service has an endpoint that is not leaving to which the request may
 // be sent, whether it has a free slot or not.
 func (p *Picker) Fits(info PickInfo) bool {
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -25,6 +25,9 @@
 	// minResponseTimeout is the least time that an endpoint has to begin its
 	// response to a retryable request. After it, another endpoint may be tried.
 	minResponseTimeout = 150 * time.Millisecond
+	// minCheckDelay is the least time without a response after which the path to an endpoint is
+	// checked.
+	minCheckDelay = 150 * time.Millisecond
 	// busySpread is the time over which the retries of callers are spread after all
 	// endpoints of a service have turned requests away.
 	busySpread = 200 * time.Millisecond
@@ -69,7 +72,7 @@
 		pk.End(x.pickResult(ctx, err), time.Now())
 		x.logAttempt(pk, err)
 		x.noteCrash(ctx, pk, err)
-		if ctx.Err() == nil && errors.Is(err, errNotConnected) {
+		if ctx.Err() == nil && errors.Is(err, errNotConnected) && !errors.Is(err, conns.ErrNoPath) {
 			pk.Broken(time.Now())
 		}
 		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
@@ -223,6 +226,9 @@
 	if x.RegistryAge != nil {
 		f["registry"] = x.RegistryAge().Milliseconds()
 	}
+	if x.relayed {
+		f["relayed"] = true
+	}
 	x.received.addFields(f)
 	if err == nil {
 		x.Logger.WithFields(f).Info("send: answered")
@@ -236,7 +242,7 @@
 // returns nil if the caller got the complete response. Afterwards it puts a reusable
 // connection back into the pool and closes any other.
 func (x *exchange) attempt(ctx context.Context, pk *picker.Pick) error {
-	x.received, x.sentAt = receipt{}, time.Time{}
+	x.received, x.sentAt, x.relayed = receipt{}, time.Time{}, false
 	e := pk.Endpoint()
 	// A response to an earlier attempt of this request names its ID too, so it must not arrive
 	// on the connection of this one.
@@ -247,6 +253,7 @@
 		return errors.CombineErrors(errNotConnected, err)
 	}
 	x.Metrics.connected(conn.Reused())
+	x.relayed = conn.Relayed()
 	stop := context.AfterFunc(ctx, conn.Close)
 	keep := false
 	defer func() {
@@ -259,12 +266,17 @@
 	r := x.outgoing(e)
 	x.sentFrom = cmp.Or(x.relay.lastEventID, x.request.LastEventID)
 	x.attempts++
-	x.sentAt = time.Now()
+	sentAt := time.Now()
+	x.sentAt = sentAt
 	ranBefore := x.mayHaveRun
 	x.mayHaveRun = true // undone below if the endpoint reports that it did not run the request
 	if err := conn.Send(r); err != nil {
 		return incomplete(err)
 	}
+	if !x.relayed {
+		check := time.AfterFunc(max(x.route.Objective*3/4, minCheckDelay), func() { x.Pool.Check(e.Address, sentAt) })
+		defer check.Stop()
+	}
 	keep, err = x.relayResponse(ctx, pk, conn, r)
 	if errors.Is(err, errNotRun) {
 		x.mayHaveRun = ranBefore
@@ -302,6 +314,7 @@
 	x.received = newReceipt(resp, header)
 	x.noteState(pk)
 	pk.Responded(conn.OpenedAt())
+	x.Pool.Heard(conn)
 	x.Poison.Alive(incarnation(pk), time.Now())
 	if header.NotRun {
 		return x.discard(resp), errNotRun
--- a/internal/forward/serve/crash.go
+++ b/internal/forward/serve/crash.go
@@ -61,7 +61,7 @@
 func (x *exchange) noteCrash(ctx context.Context, pk *picker.Pick, err error) {
 	now := time.Now()
 	switch {
-	case ctx.Err() == nil && x.endpointClosed(err):
+	case ctx.Err() == nil && !x.relayed && x.endpointClosed(err):
 		traits := x.requestTraits()
 		if x.relay.events == 0 && x.request.LastEventID == "" {
 			traits = x.traits()
@@ -105,6 +105,9 @@
 		defer s.goneChecks.Add(-1)
 		time.Sleep(goneCheckDelay)
 		conn, err := s.Pool.Get(context.Background(), address, true)
+		if errors.Is(err, conns.ErrNoPath) {
+			return
+		}
 		if err != nil {
 			gone()
 			return
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -103,6 +103,7 @@
 	lastErr       error     // error of the last failed attempt
 	sentAt        time.Time // when the current attempt was sent, zero before
 	version       string    // software version of the endpoint that began the stream, empty before the first event
+	relayed       bool      // the current attempt goes by way of a peer
 	originUnknown bool      // the stream has begun at an endpoint whose version is in doubt
 	sentFrom      string    // ID of the event after which the current attempt resumes the stream, empty if it begins one
 	received      receipt   // describes the response of the current attempt
