forward/serve: a stream that has begun goes on only with events that follow

Reported by operators of a similar system. What callers saw here: after a stream had begun and broken off, a 200 of another content type, or a head as text, stood in the middle of it; a 204, or a head without a body, ended it as if complete; an endpoint that began anew repeated its events; and a first 200 without an event, ended by its connection, was a whole, empty stream. Cause: each 2xx counted as the rest of the stream. Change: what resumes it must be a 200 of the same content type whose first event has an ID that follows; a stream without an event that ends with its connection is incomplete; and a stream whose events have no IDs is not sent again.

--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -117,6 +117,9 @@
 // there is nothing to count, and after errStalled the stall timer has already
 // counted the retry.
 func (x *exchange) mayRetry(err error) bool {
+	if x.relay.events > 0 && x.relay.lastEventID == "" {
+		return false // the next endpoint could not be told where to go on
+	}
 	if errors.Is(err, errNotConnected) || errors.Is(err, errStalled) {
 		return true // not counted: nothing was sent, or the stall timer has already counted the retry
 	}
--- a/internal/forward/serve/event.go
+++ b/internal/forward/serve/event.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -59,3 +60,21 @@
 		}
 	}
 }
+
+// errNotFollowing means that an endpoint was asked to resume a stream after an event, and its first
+// event does not follow that one.
+var errNotFollowing = errors.New("the first event does not follow the last one of the stream")
+
+// follows reports whether the event with the given ID may follow the event with the ID from in a
+// stream, where IDs increase. An empty from stands for the begin of the stream.
+func follows(from, id string) bool {
+	if from == "" {
+		return true
+	}
+	last, err := strconv.ParseInt(from, 10, 64)
+	if err != nil {
+		return id != "" && id != from // not numbers: that is all that is known
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && next > last
+}
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -35,6 +35,7 @@
 	x           *exchange
 	control     *http.ResponseController
 	status      int       // HTTP status sent to the caller, 0 if none yet
+	media       string    // content type of the first response of a stream
 	lastEventID string    // ID of the last event read from the endpoint, empty if none has an ID
 	events      int64     // number of complete events read from endpoints; they are then sent to the caller
 	firstAt     time.Time // when the first data of the response arrived from an endpoint
@@ -118,11 +119,19 @@
 // events: a response that ends inside an event is incomplete, however it is framed. Each
 // event restarts the timer.
 func (r *relay) stream(ctx context.Context, pk *picker.Pick, resp *http.Response, timer *stallTimer) error {
+	if err := r.checkContinues(resp); err != nil {
+		return err
+	}
 	br := bufio.NewReader(resp.Body)
 	var batch bytes.Buffer
+	begun := false // an event of this response was read
 	for {
 		n, id, err := readEvent(br, &batch)
 		if n > 0 && err == nil {
+			if !begun && !follows(r.x.sentFrom, id) {
+				return incomplete(errNotFollowing)
+			}
+			begun = true
 			if r.firstAt.IsZero() {
 				r.firstAt = time.Now()
 			}
@@ -142,12 +151,14 @@
 		}
 		// Complete events are delivered before an error returns, because the next
 		// endpoint is told the ID of the last one.
-		if err == nil || errors.Is(err, io.EOF) || batch.Len() > 0 {
+		if err == nil || errors.Is(err, io.EOF) && (begun || r.x.received.framing != conns.ByClose) || batch.Len() > 0 {
 			if err := r.flush(resp, &batch); err != nil {
 				return err
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && !begun && r.x.received.framing == conns.ByClose:
+			return incomplete(io.ErrUnexpectedEOF)
 		case errors.Is(err, errInsideEvent):
 			r.x.received.partial = n
 			return incomplete(err)
@@ -159,6 +170,18 @@
 	}
 }
 
+// checkContinues returns an error if the response cannot be a part of the stream that has begun.
+func (r *relay) checkContinues(resp *http.Response) error {
+	media := resp.Header.Get("Content-Type")
+	switch {
+	case r.status == 0:
+		r.media = media
+	case resp.StatusCode != http.StatusOK || media != r.media:
+		return errors.WithMessagef(errIncomplete, "the endpoint did not resume the stream: status %d, content type %.80q", resp.StatusCode, media)
+	}
+	return nil
+}
+
 // flush sends the events in batch to the caller without further buffering, and
 // empties batch. It first sends the status and the headers of resp if no status has
 // been sent yet.
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -45,6 +45,31 @@
 	runScript(t, "testdata/broken/stream")
 }
 
+func TestStreamThatHasBegunGoesOnOnlyWithEventsThatFollow(t *testing.T) {
+	runScript(t, "testdata/broken/joined")
+}
+
+// TestHalfAHeadIsNoResponse cuts the head of a response at each byte.
+func TestHalfAHeadIsNoResponse(t *testing.T) {
+	f := newFixture(t)
+	f.configure(t, "route /r/ kind=once anonymous=yes\nroute /s/ kind=stream anonymous=yes")
+	head := `HTTP/1.1 200 OK\r\nJacinthladder-Request: $ID\r\nSeal: a\r\nContent-Length: 12\r\n\r\n`
+	text, err := strconv.Unquote(`"` + strings.ReplaceAll(head, "$ID", "q1") + `"`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for length := range len(text) {
+		cut := strconv.Quote(text[:length])
+		for _, path := range []string{"/r/x", "/s/x"} {
+			f.startEndpoint(t, "a", "", "write "+cut+"; close")
+			got := f.sendRequest(t, "POST "+path+" HTTP/1.1\nHost: h\nJacinthladder-Request: q1\n")
+			if !strings.HasPrefix(got, "502") {
+				t.Errorf("the head ends after %s: the caller of %s got %.60q, want status 502", cut, path, got)
+			}
+		}
+	}
+}
+
 func TestLongFailureResponseIsNotCutAndFramedAsComplete(t *testing.T) {
 	runScript(t, "testdata/broken/failure")
 }
