forward/picker: keep what is turned away of brittle endpoints below what they bear

Cause here: a rejection ejected an endpoint for half a second, but ejected ones are picked where all are, and nothing bounded what all instances send a full one. Change: of a brittle endpoint each instance uses its part of the slots; after a rejection it halves what it sends there and pauses, for as long as keeps all instances together at half of the named rejections; room grows again with answers.

--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -106,8 +106,9 @@
 // NewPicker returns the picker, which chooses an endpoint for each request and takes the
 // instance's zone into account. It knows no endpoints at first. It logs each change of the
 // rate that an endpoint takes, and peers hear of it at once.
-func NewPicker(s *setup.Settings, news *signal.Signal, logger log.Interface) *picker.Picker {
+func NewPicker(s *setup.Settings, t *member.Table, news *signal.Signal, logger log.Interface) *picker.Picker {
 	p := picker.NewPicker(s.Zone())
+	p.Instances = func() int { return t.Others() + 1 }
 	p.LimitChanged = func(e picker.Endpoint, limit meta.RateLimit) {
 		news.Raise()
 		logger.WithFields(log.Fields{"endpoint": e.ID, "service": e.Service, "limit": limit.String()}).Info("endpoint: takes another rate of requests from all instances")
--- a/internal/forward/meta/codec.go
+++ b/internal/forward/meta/codec.go
@@ -48,6 +48,7 @@
 	IdleTimeout time.Duration // after which the endpoint closes the idle connection, 0 if not stated
 	Leaving     bool          // the endpoint reports that it is leaving and must get no new requests
 	RetryAfter  time.Duration // for which the endpoint, which turned the request away, wants no further ones, 0 if not stated
+	Brittle     RateLimit     // if named, the requests per second that the endpoint can turn away without falling over
 	Limit       RateLimit     // on the requests that the endpoint gets from all instances together
 	Misdirected bool          // another endpoint at the same address responds, which says nothing about the expected one
 }
--- a/internal/forward/meta/native.go
+++ b/internal/forward/meta/native.go
@@ -21,6 +21,7 @@
 	headerLeaving     = "Jacinthladder-Leaving" // "true" in the responses of an endpoint that is leaving
 	headerRetryAfter  = "Retry-After"           // seconds, may have a fraction
 	headerLimit       = "Jacinthladder-Limit"   // requests per second that the endpoint takes from all instances, may have a fraction
+	headerBrittle     = "Jacinthladder-Brittle" // requests per second that the endpoint can turn away without falling over
 	headerLastEventID = "Last-Event-Id"
 	headerResumes     = "Jacinthladder-Resumes" // ID of the request that brought the first event of the stream
 	headerKey         = "Authorization"
@@ -44,7 +45,7 @@
 			r.NotRun = r.Misdirected || h.Get(headerOutcome) == outcomeNotRun
 			r.Leaving = !r.Misdirected && h.Get(headerLeaving) == "true"
 			if !r.Misdirected {
-				r.Limit = ParseRateLimit(h.Get(headerLimit))
+				r.Limit, r.Brittle = ParseRateLimit(h.Get(headerLimit)), ParseRateLimit(h.Get(headerBrittle))
 			}
 			return r
 		},
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -41,6 +41,7 @@
 	ejectedUntil   time.Time    // end of the ejection
 	doubt          doubt        // whether another endpoint has taken its place unnoticed
 	busyUntil      time.Time    // until when the endpoint wants no requests
+	brittle        brittleness  // whether rejections make the endpoint fall over
 	limit          statedLimit  // rate that the endpoint takes from all instances
 	limitChangedAt time.Time    // when the limit last changed, zero if it never did
 	permitAt       time.Time    // when this instance may ask for a permit at that rate again
@@ -54,6 +55,9 @@
 	// must not call the picker.
 	LimitChanged func(e Endpoint, limit meta.RateLimit)
 
+	// Instances, if set, returns the number of live instances, which share what a brittle endpoint bears.
+	Instances func() int
+
 	zone string // of this instance
 
 	mu         sync.Mutex
@@ -280,7 +284,7 @@
 		}
 		available = append(available, s)
 		candidates = append(candidates, place.Candidate{
-			Slots: s.Slots, Running: s.running, QueuedTokens: s.queuedTokens, CachedTokens: s.cache.cachedTokens(info.Request.Parts),
+			Slots: p.slotsOf(s, now), Running: s.running, QueuedTokens: s.queuedTokens, CachedTokens: s.cache.cachedTokens(info.Request.Parts),
 			Preferred: s == preferred,
 			FailRatio: s.currentFailRatio(now), CrossZone: s.Zone != p.zone, WarmingUp: now.Before(s.warmUntil), Ejected: now.Before(s.ejectedUntil) || info.Begins != nil && s.doubt.holds(info.RegistryAt),
 			Busy: now.Before(s.closedUntil()),
--- a/internal/forward/picker/results.go
+++ b/internal/forward/picker/results.go
@@ -61,12 +61,18 @@
 	case Succeeded:
 		s.recordResult(0, now)
 		s.incompletes, s.ejectedUntil = 0, time.Time{}
+		s.noteRoom()
 	case Failed:
 		s.recordResult(1, now)
 	case Incomplete, Rejected:
 		s.recordResult(1, now)
 		s.eject(r, now)
-	case Busy, Canceled:
+		if r == Rejected {
+			pk.picker.noteRejection(s, now)
+		}
+	case Busy:
+		pk.picker.noteRejection(s, now)
+	case Canceled:
 	}
 }
 
--- a/internal/forward/serve/limit.go
+++ b/internal/forward/serve/limit.go
@@ -72,5 +72,6 @@
 	}
 	if !x.received.misdirected {
 		pk.NoteLimit(x.received.limit, x.sentAt, time.Now())
+		pk.NoteBrittle(x.received.brittle, time.Now())
 	}
 }
--- a/internal/forward/serve/receipt.go
+++ b/internal/forward/serve/receipt.go
@@ -25,6 +25,7 @@
 	leaving    bool          // the endpoint reports that it is leaving
 	retryAfter time.Duration // for which the endpoint wants no further requests, 0 if it does not say so
 	limit      meta.RateLimit
+	brittle    meta.RateLimit // if named, the rejections per second that the endpoint bears
 
 	misdirected bool // another endpoint than the expected one responded
 }
@@ -32,7 +33,7 @@
 func newReceipt(resp *http.Response, header meta.Response) receipt {
 	return receipt{
 		status: resp.StatusCode, framing: conns.FramingOf(resp),
-		leaving: header.Leaving, retryAfter: header.RetryAfter, limit: header.Limit,
+		leaving: header.Leaving, retryAfter: header.RetryAfter, limit: header.Limit, brittle: header.Brittle,
 		misdirected: header.Misdirected,
 	}
 }
@@ -49,6 +50,9 @@
 	if r.retryAfter > 0 {
 		f["wait"] = r.retryAfter.Milliseconds()
 	}
+	if r.brittle.Named {
+		f["brittle"] = r.brittle.PerSecond
+	}
 	if r.limit.Named {
 		f["limit"] = r.limit.PerSecond
 	}
