forward/picker: an endpoint that is wholly silent for a second is avoided meanwhile, and not ejected as failing

Cause here: each request that stalled at it counted as an incomplete response; five of them doubled the ejection to 4 s to 6 s and raised the failure ratio to 0.56, a cost of more than a second that other endpoints do not have. Change: stalls at an endpoint from which nothing has come for 0.14 s to 2 s, on any connection, avoid it for half a second each and no more; one that answers others, or is silent for longer, counts as before.

--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -39,6 +39,7 @@
 	failRatioAt    time.Time    // when the last result was recorded
 	incompletes    int          // incomplete responses since the last success
 	ejectedUntil   time.Time    // end of the ejection
+	heardAt        time.Time    // when something last came from the endpoint
 	doubt          doubt        // whether another endpoint has taken its place unnoticed
 	busyUntil      time.Time    // until when the endpoint wants no requests
 	brittle        brittleness  // whether rejections make the endpoint fall over
--- a/internal/forward/picker/results.go
+++ b/internal/forward/picker/results.go
@@ -12,6 +12,11 @@
 	// The mean doubles with each incomplete response until a request succeeds.
 	minEjection = 500 * time.Millisecond
 	maxEjection = 4 * time.Second
+	// minSilence is the time for which an endpoint must have sent nothing at all to count as silent,
+	// and not as one that is silent on some requests only. A sound one may be silent for a second or
+	// so; after maxSoundSilence it counts as failing.
+	minSilence      = 140 * time.Millisecond
+	maxSoundSilence = 2 * time.Second
 	// failWeight is the weight of one new result in the failure ratio of an
 	// endpoint, which is a moving average.
 	failWeight = 0.15
@@ -31,6 +36,8 @@
 	// Incomplete means no complete response: the connection failed or broke, or the
 	// endpoint did not respond in time.
 	Incomplete
+	// Stalled means that the endpoint was silent for too long, while its connection stayed open.
+	Stalled
 	// Rejected means that the endpoint reported that it did not run the request, for
 	// example because it is full.
 	Rejected
@@ -42,14 +49,15 @@
 	Canceled
 )
 
-// String returns "done" for Succeeded, "failed" for Failed, "broken" for Incomplete,
+// String returns "done" for Succeeded, "failed" for Failed, "broken" for Incomplete, "silent" for Stalled,
 // "full" for Rejected, "busy" for Busy or "dropped" for Canceled.
 func (r Result) String() string {
-	return [...]string{"done", "failed", "broken", "full", "busy", "dropped"}[r]
+	return [...]string{"done", "failed", "broken", "silent", "full", "busy", "dropped"}[r]
 }
 
 // End stops counting the request as running at its endpoint and records its result.
-// A result other than Canceled and Busy changes the endpoint's failure ratio. Incomplete
+// A result other than Canceled and Busy changes the endpoint's failure ratio, but for Stalled at an
+// endpoint that sends nothing to anyone for a second or so, which is only avoided meanwhile. Incomplete
 // and Rejected eject the endpoint, and Succeeded ends its ejection.
 func (pk *Pick) End(r Result, now time.Time) {
 	pk.picker.mu.Lock()
@@ -64,6 +72,13 @@
 		s.noteRoom()
 	case Failed:
 		s.recordResult(1, now)
+	case Stalled:
+		if now.Sub(s.heardAt) < minSilence || now.Sub(s.heardAt) > maxSoundSilence {
+			s.recordResult(1, now)
+			s.eject(Incomplete, now)
+			return
+		}
+		s.avoid(minEjection, now)
 	case Incomplete, Rejected:
 		s.recordResult(1, now)
 		s.eject(r, now)
@@ -85,9 +100,21 @@
 		d = min(minEjection<<min(s.incompletes, 4), maxEjection)
 		s.incompletes++
 	}
+	s.avoid(d, now)
+}
+
+// avoid ejects the endpoint for a random time, from half to one and a half times the mean d.
+func (s *endpointState) avoid(d time.Duration, now time.Time) {
 	s.ejectedUntil = now.Add(d/2 + rand.N(d))
 }
 
+// Heard records that something came from the endpoint.
+func (pk *Pick) Heard(now time.Time) {
+	pk.picker.mu.Lock()
+	defer pk.picker.mu.Unlock()
+	pk.state.heardAt = now
+}
+
 // currentFailRatio returns the failure ratio of the endpoint at the time now, from 0
 // to 1. The ratio halves with each failHalfLife since the last result.
 func (s *endpointState) currentFailRatio(now time.Time) float64 {
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -196,6 +196,8 @@
 		return picker.Busy
 	case errors.Is(err, errNotRun):
 		return picker.Rejected
+	case errors.Is(err, errStalled):
+		return picker.Stalled
 	case errors.Is(err, errFailed):
 		return picker.Failed
 	default:
@@ -316,6 +318,7 @@
 	conn.SetIdleTimeout(header.IdleTimeout)
 	x.received = newReceipt(resp, header)
 	x.noteState(pk)
+	pk.Heard(time.Now())
 	pk.Responded(conn.OpenedAt())
 	x.Pool.Heard(conn)
 	x.Poison.Alive(incarnation(pk), time.Now())
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -141,6 +141,7 @@
 				r.x.noteFirstEvent()
 			}
 			r.events++
+			pk.Heard(time.Now())
 			if id != "" {
 				r.lastEventID = id
 			}
