forward/origin: take versions off the list that have had no endpoint for long

Without it, a service that ever had two versions would have its streams' origins written for ever, and no unknown one could be certain again. An instance forgets a version 5 minutes after its last endpoint, and takes it off the list after 15: by then no instance begins streams at it without finding it listed again. Evidence: TestVersionWithoutEndpointsIsTakenOffTheList.

--- a/internal/forward/origin/codec.go
+++ b/internal/forward/origin/codec.go
@@ -64,6 +64,15 @@
 	return merged, added
 }
 
+// without returns the listing without some versions.
+func (l listing) without(old []Origin) listing {
+	rest := listing{}
+	for service, versions := range l {
+		rest[service] = slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return slices.Contains(old, Origin{service, v}) })
+	}
+	return rest
+}
+
 // anyMixed reports whether a service has several listed versions.
 func (l listing) anyMixed() bool {
 	for _, versions := range l {
--- a/internal/forward/origin/register.go
+++ b/internal/forward/origin/register.go
@@ -31,6 +31,12 @@
 	listInterval = time.Second
 	// storeTimeout bounds one call to the platform.
 	storeTimeout = 900 * time.Millisecond
+	// forgetTime is how long a version must have had no endpoint until this instance begins no stream
+	// at it without having found it listed again, and retireTime that until it is taken off the list.
+	// The difference exceeds the time for which an instance may take an endpoint for present that is
+	// not.
+	forgetTime = 5 * time.Minute
+	retireTime = 15 * time.Minute
 	// listRetry is the longest time, before jitter, from a failed attempt to list versions to
 	// the next one.
 	listRetry = 400 * time.Millisecond
@@ -56,9 +62,11 @@
 
 	streams book
 
-	mu     sync.Mutex
-	listed listing       // versions that are known to be listed
-	ready  chan struct{} // see Ready
+	mu      sync.Mutex
+	listed  listing              // versions that are known to be listed
+	ready   chan struct{}        // see Ready
+	seenAt  map[Origin]time.Time // when a listed version last had an endpoint, or was first found listed
+	retired map[Origin]bool      // versions that this instance has taken off the list
 
 	readMu   sync.Mutex // held during a read for Find, so that those who wait share the next one
 	lastRead reading
@@ -114,7 +122,7 @@
 func (r *Register) Merge(other map[string][]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.listed, _ = r.listed.with(other)
+	r.merge(other, time.Now())
 }
 
 // mixed returns the services that have several listed versions.
@@ -135,7 +143,7 @@
 	for ctx.Err() == nil {
 		changed := r.Changed()
 		wait := listInterval
-		err := r.listNow(ctx)
+		err := errors.CombineErrors(r.listNow(ctx), r.retire(ctx, time.Now()))
 		if err == nil && len(r.Versions()) > 0 {
 			ready()
 		}
@@ -155,6 +163,7 @@
 // find the same one missing write at different times, so that one write serves all.
 func (r *Register) listNow(ctx context.Context) error {
 	for try := 0; ; try++ {
+		r.noteSeen(time.Now()) // so that Merge takes versions that are back
 		l := listing(r.Listing())
 		wanted, missing := l.with(r.Versions())
 		if !missing {
@@ -194,6 +203,87 @@
 	}
 }
 
+// noteSeen records which versions have endpoints, and forgets those that have had none for
+// forgetTime. It returns those that have had none for retireTime.
+func (r *Register) noteSeen(now time.Time) []Origin {
+	present := listing(r.Versions())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seenAt == nil {
+		r.seenAt = map[Origin]time.Time{}
+	}
+	for service, versions := range r.listed {
+		for _, v := range versions {
+			o := Origin{service, v}
+			if _, known := r.seenAt[o]; !known || present.has(service, v) {
+				r.seenAt[o] = now
+			}
+		}
+	}
+	var old []Origin
+	for o, at := range r.seenAt {
+		if present.has(o.Service, o.Version) {
+			r.seenAt[o] = now
+			delete(r.retired, o)
+			continue
+		}
+		if now.Sub(at) > forgetTime {
+			r.listed = r.listed.without([]Origin{o})
+		}
+		if now.Sub(at) > retireTime && !r.retired[o] {
+			old = append(old, o)
+		}
+	}
+	return old
+}
+
+// merge adds versions that were found listed, but for those that this instance has forgotten. The
+// caller holds the lock.
+func (r *Register) merge(other listing, now time.Time) {
+	for o, at := range r.seenAt {
+		if now.Sub(at) > forgetTime {
+			other = other.without([]Origin{o})
+		}
+	}
+	r.listed, _ = r.listed.with(other)
+}
+
+// setRetired records which versions were taken off the list.
+func (r *Register) setRetired(old []Origin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.retired == nil {
+		r.retired = map[Origin]bool{}
+	}
+	for _, o := range old {
+		r.retired[o] = true
+	}
+}
+
+// retire takes versions off the list that have had no endpoint for retireTime.
+func (r *Register) retire(ctx context.Context, now time.Time) error {
+	old := r.noteSeen(now)
+	if len(old) == 0 {
+		return nil
+	}
+	stored, version, err := r.readListing(ctx)
+	if err != nil || version == 0 {
+		return err
+	}
+	data, err := encodeListing(stored.without(old))
+	if err != nil {
+		return err
+	}
+	if err := r.writeListing(ctx, version, data); errors.Is(err, object.ErrConflict) {
+		return nil // the next call tries again
+	} else if err != nil {
+		return err
+	}
+	r.setRetired(old)
+	r.Logger.WithField("versions", old).Info("origin: took versions off the list that have had no endpoint for long")
+	return nil
+}
+
 // writeSpread is the time, for each live instance, over which they spread their writes of a version
 // that all of them have seen at once.
 const writeSpread = 10 * time.Millisecond
--- a/internal/forward/origin/register_test.go
+++ b/internal/forward/origin/register_test.go
@@ -268,3 +268,34 @@
 		t.Errorf("got %q, error %v, want v1", v, err)
 	}
 }
+
+func TestVersionWithoutEndpointsIsTakenOffTheList(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("a")
+	f.setVersions(t, a, "v1", "v2")
+	f.mu.Lock()
+	f.versions = map[string][]string{"s": {"v2"}}
+	f.mu.Unlock()
+	now := time.Now()
+	a.noteSeen(now)
+	if a.noteSeen(now.Add(forgetTime + time.Second)); a.Listed("s", "v1") || !a.Listed("s", "v2") {
+		t.Error("a version without endpoints counts as listed after forgetTime, or one with endpoints does not")
+	}
+	if err := a.retire(context.Background(), now.Add(retireTime+time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if v, err := find(a, "lost"); v != "v2" || err != nil {
+		t.Errorf("one version is left: got %q, error %v, want v2", v, err)
+	}
+	a.mu.Lock()
+	a.seenAt[Origin{"s", "v1"}] = now.Add(-time.Hour)
+	a.mu.Unlock()
+	a.Merge(map[string][]string{"s": {"v1"}})
+	if a.Listed("s", "v1") {
+		t.Error("a version that was taken off the list came back from a peer")
+	}
+	f.setVersions(t, a, "v1", "v2")
+	if v, err := find(a, "lost"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("the version is back: got %q, error %v, want ErrUnknown", v, err)
+	}
+}
