forward/conns: give far endpoints more time before a peer is asked for a connection

Found by reading: with a fixed 30 ms, each new connection to an endpoint in another region would ask peers. Now it is three times what connections to that address last took, at least 30 ms.

--- a/internal/forward/conns/path.go
+++ b/internal/forward/conns/path.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// relayHeadStart is the time that a new connection to an endpoint gets before a peer is asked
-	// to open one, too.
-	relayHeadStart = 30 * time.Millisecond
+	// minHeadStart is the least time that a new connection to an endpoint gets before a peer is asked
+	// to open one, too. Far endpoints get dialTimes times as long as their last connections took.
+	minHeadStart = 30 * time.Millisecond
+	dialTimes    = 3
 	// pathRetry is the interval at which an instance tries its own path to an endpoint again
 	// after it could not be reached by it.
 	pathRetry = time.Second
@@ -37,12 +38,13 @@
 // to use.
 type paths struct {
 	mu           sync.Mutex
-	unreached    map[string]*unreached // by address
-	heardAt      map[string]time.Time  // when an endpoint last responded by the own path, by address
-	lastHeardAt  time.Time             // when any endpoint last did
-	retryAt      time.Time             // when the own path is tried next, while the instance is cut off
-	nowhereUntil time.Time             // until then, no connection is tried
-	checkedAt    map[string]time.Time  // when a check of the path to an endpoint last began, by address
+	unreached    map[string]*unreached    // by address
+	heardAt      map[string]time.Time     // when an endpoint last responded by the own path, by address
+	dialTime     map[string]time.Duration // how long new connections by the own path take, by address
+	lastHeardAt  time.Time                // when any endpoint last did
+	retryAt      time.Time                // when the own path is tried next, while the instance is cut off
+	nowhereUntil time.Time                // until then, no connection is tried
+	checkedAt    map[string]time.Time     // when a check of the path to an endpoint last began, by address
 }
 
 // unreached describes an endpoint that could not be reached by the own path.
@@ -108,6 +110,23 @@
 	return p.cutOffLocked()
 }
 
+// headStart returns the time that a new connection to an address gets before a peer is asked.
+func (p *paths) headStart(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(dialTimes*p.dialTime[address], minHeadStart)
+}
+
+// noteDialTime records how long a new connection by the own path has taken.
+func (p *paths) noteDialTime(address string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialTime == nil {
+		p.dialTime = map[string]time.Duration{}
+	}
+	p.dialTime[address] = max(took, p.dialTime[address]*9/10)
+}
+
 // heard records that the endpoint at an address can be reached by the own path.
 func (p *paths) heard(address string, now time.Time) (wasUnreached bool) {
 	p.mu.Lock()
@@ -150,6 +169,7 @@
 		for a, at := range times {
 			if now.Sub(at) > time.Minute {
 				delete(times, a)
+				delete(p.dialTime, a)
 			}
 		}
 	}
@@ -198,9 +218,9 @@
 	case w == noWay:
 		return nil, ErrNoPath
 	case w == relayFirst:
-		return p.race(ctx, address, 0, relayHeadStart)
+		return p.race(ctx, address, 0, p.paths.headStart(address))
 	default:
-		return p.race(ctx, address, relayHeadStart, 0)
+		return p.race(ctx, address, p.paths.headStart(address), 0)
 	}
 }
 
@@ -333,10 +353,16 @@
 func (p *Pool) dialOwn(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if p.Dial != nil {
-		return p.Dial(ctx, address)
+	dial := p.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	began := time.Now()
+	nc, err := dial(ctx, address)
+	if err == nil {
+		p.paths.noteDialTime(address, time.Since(began))
 	}
-	return dialTCP(ctx, address)
+	return nc, err
 }
 
 // Check checks the path to the endpoint at an address in the background, unless the endpoint has been
@@ -348,7 +374,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
-		c, err := p.race(ctx, address, relayHeadStart, 0)
+		c, err := p.race(ctx, address, p.paths.headStart(address), 0)
 		if err == nil {
 			p.Put(c)
 		}
