forward/conns: try the own path a second after it was tried last; tests of paths

A connection that failed late moved the next try of the own path back: after a hanging cut it came up to 1.7 s later. Found by TestEndpointOutOfReachIsReachedByAPeer, which failed before.

--- a/internal/forward/conns/path.go
+++ b/internal/forward/conns/path.go
@@ -57,7 +57,7 @@
 type way int
 
 const (
-	ownFirst   way = iota // by the own path, and after relayHeadStart by a peer too
+	ownFirst   way = iota // by the own path, and a little later by a peer too
 	relayFirst            // by a peer, and if none can, by the own path
 	noWay                 // not at all
 )
@@ -148,8 +148,7 @@
 	if p.unreached == nil {
 		p.unreached = map[string]*unreached{}
 	}
-	if u := p.unreached[address]; u != nil {
-		u.retryAt = now.Add(pathRetry)
+	if p.unreached[address] != nil {
 		return false
 	}
 	p.unreached[address] = &unreached{since: now, retryAt: now.Add(pathRetry)}
