--- a/internal/forward/origin/find.go
+++ b/internal/forward/origin/find.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/fleet/pause"
 )
 
 var (
@@ -17,6 +19,12 @@
 const (
 	// askTimeout bounds the questions to peers.
 	askTimeout = 250 * time.Millisecond
+	// minReadInterval is the shortest interval between two reads from the platform, readSpread its part
+	// for each live instance, because all of them may have to read at once, and each reads what all
+	// have written. maxReadWait bounds the time that a request waits for the next read.
+	minReadInterval = 100 * time.Millisecond
+	readSpread      = 10 * time.Millisecond
+	maxReadWait     = 300 * time.Millisecond
 	// askHeadStart is the time from the questions to peers to the read from the platform.
 	askHeadStart = 15 * time.Millisecond
 )
@@ -131,6 +139,12 @@
 	if !r.lastRead.begunAt.Before(since) {
 		return r.lastRead
 	}
+	interval := max(minReadInterval, time.Duration(r.Members())*readSpread)
+	if wait := interval - time.Since(r.lastRead.begunAt); wait > maxReadWait {
+		return reading{err: errors.New("origin: the platform was read a moment ago")}
+	} else if wait > 0 {
+		pause.For(ctx, wait)
+	}
 	ctx = context.WithoutCancel(ctx) // others wait for the result too
 	got := reading{begunAt: time.Now()}
 	got.listed, _, got.err = r.readListing(ctx)
--- a/internal/forward/origin/register_test.go
+++ b/internal/forward/origin/register_test.go
@@ -299,3 +299,30 @@
 		t.Errorf("the version is back: got %q, error %v, want ErrUnknown", v, err)
 	}
 }
+
+func TestTakeUpsAfterAKillShareReadsFromThePlatform(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("a")
+	f.setVersions(t, a, "v1", "v2")
+	reads := 0
+	store := f.store()
+	watch := store.Watch
+	store.Watch = func(ctx context.Context, kind string, after int64, wait time.Duration) (object.Page, error) {
+		reads++
+		return watch(ctx, kind, after, wait)
+	}
+	a.Store = store
+	var takeUps sync.WaitGroup
+	for range 500 {
+		takeUps.Go(func() {
+			if _, err := find(a, "lost"); !errors.Is(err, ErrUnknown) {
+				t.Errorf("got error %v, want ErrUnknown", err)
+			}
+		})
+		time.Sleep(time.Millisecond)
+	}
+	takeUps.Wait()
+	if most := int(2 * time.Second / minReadInterval); reads > most {
+		t.Errorf("500 take-ups in half a second read from the platform %d times, want at most %d", reads, most)
+	}
+}
