forward/origin: one place that says which services have several versions

Read through: mixed and anyMixed looked for the same thing; a comment said that peers are asked one after the other, they are asked at once. No change of behaviour; the tests of the package pass with -race.

--- a/internal/forward/origin/codec.go
+++ b/internal/forward/origin/codec.go
@@ -73,14 +73,15 @@
 	return rest
 }
 
-// anyMixed reports whether a service has several listed versions.
-func (l listing) anyMixed() bool {
-	for _, versions := range l {
+// mixed returns the services that have several listed versions.
+func (l listing) mixed() map[string]bool {
+	mixed := map[string]bool{}
+	for service, versions := range l {
 		if len(versions) > 1 {
-			return true
+			mixed[service] = true
 		}
 	}
-	return false
+	return mixed
 }
 
 // lostVersion stands in a listing for versions that it may have held before it became unreadable.
--- a/internal/forward/origin/find.go
+++ b/internal/forward/origin/find.go
@@ -148,7 +148,7 @@
 	ctx = context.WithoutCancel(ctx) // others wait for the result too
 	got := reading{begunAt: time.Now()}
 	got.listed, _, got.err = r.readListing(ctx)
-	if got.err == nil && got.listed.anyMixed() {
+	if got.err == nil && len(got.listed.mixed()) > 0 {
 		got.streams, got.err = r.readStreams(ctx)
 	}
 	r.lastRead = got
--- a/internal/forward/origin/register.go
+++ b/internal/forward/origin/register.go
@@ -55,7 +55,7 @@
 	Members   func() int                 // number of live instances
 	Versions  func() map[string][]string // versions of the known endpoints, by service
 	Changed   func() <-chan struct{}     // closed at the next change of what Versions returns
-	// Ask asks a peer after the other for the origin of a stream, and returns it if one knows it.
+	// Ask asks the peers for the origin of a stream, and returns it if one knows it.
 	// Complete reports that all peers have replied.
 	Ask    func(ctx context.Context, id string) (o Origin, found, complete bool)
 	Logger log.Interface
@@ -125,17 +125,6 @@
 	r.merge(other, time.Now())
 }
 
-// mixed returns the services that have several listed versions.
-func (r *Register) mixed() map[string]bool {
-	mixed := map[string]bool{}
-	for service, versions := range r.Listing() {
-		if len(versions) > 1 {
-			mixed[service] = true
-		}
-	}
-	return mixed
-}
-
 // listVersions lists the versions of the endpoints until ctx ends.
 func (r *Register) listVersions(ctx context.Context) {
 	r.Ready()
@@ -323,7 +312,7 @@
 	known, keepUntil, mixedBefore := false, time.Now().Add(2*keepTime), 0
 	for ctx.Err() == nil {
 		pause.For(ctx, r.storeInterval())
-		mixed := r.mixed()
+		mixed := listing(r.Listing()).mixed()
 		if len(mixed) == 0 || !r.streams.takeChanged() && len(mixed) == mixedBefore {
 			continue
 		}
