--- /dev/null
+++ b/review/stand/versions.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// versionStreams is the number of streams that are open as the machine is killed.
+	versionStreams = 24
+	// streamEvents and streamGap make a stream: 40 events in 6 s.
+	streamEvents = 40
+	streamGap    = 150 * time.Millisecond
+	// settleTime is stabilityMs: after it, calm machines are in touch again.
+	settleTime = 3 * time.Second
+	// copyAge is how old the copy is from which the store comes back, and awayTime how long it is away.
+	copyAge  = 3 * time.Second
+	awayTime = 500 * time.Millisecond
+	// maxMixed is the number of mixed streams that the rule allows.
+	maxMixed = 2
+)
+
+// playVersions plays a release, a drill of the store during it, and the kill of one machine. The
+// clients of that machine take their streams up at the others.
+func playVersions(f *fleet) (bool, error) {
+	engine := func(r *replica) { r.events, r.gap = streamEvents, streamGap }
+	if err := f.addReplicas("models", "v1", 4, engine); err != nil {
+		return false, err
+	}
+	if err := f.platform.configure(1_000_000_000); err != nil {
+		return false, err
+	}
+	if err := f.start(); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	older := f.platform.Copy()
+	f.record.say("the store makes a copy")
+	if err := f.addReplicas("models", "v2", 4, engine); err != nil {
+		return false, err
+	}
+	time.Sleep(copyAge)
+	if trouble != "0" && trouble != "kill" {
+		if err := f.platform.drill(older, awayTime); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(settleTime + time.Second)
+	streams := f.runStreams(trouble != "0")
+	return f.judgeVersions(streams), nil
+}
+
+// runStreams begins streams at the first machine, which is killed while they are open if kill is set.
+// Clients take their streams up at the other machines.
+func (f *fleet) runStreams(kill bool) []*stream {
+	var work sync.WaitGroup
+	var streams []*stream
+	for i := range versionStreams {
+		s := &stream{name: fmt.Sprint("s", i)}
+		streams = append(streams, s)
+		work.Go(func() {
+			f.client.read(f.machines[0], s.name+"-a", s, 60, stride*streamEvents, 15*time.Second)
+			for try := range 3 {
+				if s.whole {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+				f.client.read(f.machines[1+(i+try)%4], fmt.Sprint(s.name, "-", try), s, 60, stride*streamEvents, 10*time.Second)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if kill {
+		if err := f.machines[0].signal(syscall.SIGKILL); err != nil {
+			f.record.say("%v", err)
+		}
+		f.machines[0].wait()
+		time.Sleep(3 * time.Second)
+		if err := f.machines[0].start(); err != nil {
+			f.record.say("%v", err)
+		}
+	}
+	work.Wait()
+	return streams
+}
+
+// judgeVersions reports whether more streams are mixed than the rule allows.
+func (f *fleet) judgeVersions(streams []*stream) bool {
+	mixed, taken, whole := 0, 0, 0
+	for _, s := range streams {
+		if s.mixed() {
+			mixed++
+			f.record.say("stream %s holds events of %v", s.name, s.versions)
+		}
+		if s.whole {
+			whole++
+		}
+		if s.broken != "" {
+			f.record.say("stream %s: %s", s.name, s.broken)
+		}
+		if s.last > 0 {
+			taken++
+		}
+	}
+	f.record.say("%d streams begun, %d whole, %d hold events of two versions (allowed: %d)", taken, whole, mixed, maxMixed)
+	return mixed > maxMixed
+}
