--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -33,7 +33,7 @@
 		return nil, err
 	}
 	f := &fleet{folder: folder, names: n, record: r, client: &client{names: n, record: r, key: "key-of-field"}}
-	f.platform = &platform{record: r, stop: make(chan struct{})}
+	f.platform = &platform{record: r, target: oneService, stop: make(chan struct{})}
 	go f.platform.run()
 	for i, zone := range zones {
 		g, err := f.platform.newGate()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,9 @@
 	"turned-away": {sixMachines, playTurnedAway},
 	"versions":    {fiveMachines, playVersions},
 	"settings":    {fiveMachines, playSettings},
+	"drain":       {fiveMachines, playDrain},
+	"split":       {fiveMachines, playSplit},
+	"unwritten":   {fiveMachines, playUnwritten},
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -21,9 +21,16 @@
 	replicas []*replica
 	version  int
 	prepaid  int64
+	target   string // where the route of the streams leads, as a field of the configuration
 	stop     chan struct{}
 }
 
+// Where the route of the streams leads.
+const (
+	oneService  = `"service": "models"`
+	twoServices = `"split": [{"service": "models", "weight": 50}, {"service": "models-b", "weight": 50}]`
+)
+
 // heartbeat is the interval at which the replicas write their entries.
 const heartbeat = 1200 * time.Millisecond
 
@@ -89,7 +96,7 @@
 
 // writeConfig writes the newest configuration.
 func (p *platform) writeConfig() error {
-	spec, err := fill("config.json", map[string]any{"version": p.version, "prepaid": p.prepaid})
+	spec, err := fill("config.json", map[string]any{"version": p.version, "prepaid": p.prepaid, "target": p.target})
 	if err != nil {
 		return err
 	}
