Review case 4: a planned stop cuts requests on kept connections

Cause: an answer whose header was sent before the SIGTERM keeps its connection, so that a request that comes on it later in the grace time is passed on and cut.

Change: the script of the case.

--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -24,6 +24,9 @@
 	// last sixth of it.
 	graceTime  = 8 * time.Second
 	excuseTime = 3 * time.Second
+	// clientTrip is the time from the end of an answer at the machine to the client's next request there:
+	// 3 ms each way.
+	clientTrip = 6 * time.Millisecond
 )
 
 // kept is a request of a client on a kept connection.
@@ -58,10 +61,12 @@
 		work.Go(func() {
 			t := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 			defer t.CloseIdleConnections()
-			for n, events := range []int{firstEvents + i/4, secondEvents} {
+			for n, events := range []int{firstEvents, secondEvents} {
+				time.Sleep(clientTrip)
 				results[i] = append(results[i], f.readKept(t, f.machines[0], fmt.Sprint("k", i, "-", n), events))
 			}
 		})
+		time.Sleep(37 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
 	stoppedAt := time.Now()
