--- a/review/stand/budget.go
+++ b/review/stand/budget.go
@@ -231,6 +231,7 @@
 	for _, x := range f.machines {
 		f.spend(m, x, smallPrompt)
 	}
+	time.Sleep(2 * time.Second)
 	older := f.platform.Copy()
 	f.record.say("the store makes a copy; the tenant has consumed %d tokens", m.total())
 	time.Sleep(copyAge)
