--- a/review/stand/takeup.go
+++ b/review/stand/takeup.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// streamDeadline is the time that a client waits for a stream, over its tries.
+const streamDeadline = 15 * time.Second
+
 // minTakeUps is the number of streams that have to be taken up for the rule to count.
 const minTakeUps = 12
 
@@ -16,9 +19,12 @@
 	sent, begun, taken, wentOn int
 }
 
-// playSplit plays the kill of one machine while the route of the streams leads to two services.
+// longEvents is the number of events of a stream that outlasts the planned stop of its machine: 10.5 s.
+const longEvents = 70
+
+// playSplit plays the planned stop of one machine while the route of the streams leads to two services.
 func playSplit(f *fleet) (bool, error) {
-	engine := func(r *replica) { r.events, r.gap = streamEvents, streamGap }
+	engine := func(r *replica) { r.events, r.gap = longEvents, streamGap }
 	for _, service := range []string{"models", "models-b"} {
 		if err := f.addReplicas(service, "v1", 4, engine); err != nil {
 			return false, err
@@ -34,7 +40,11 @@
 		return false, err
 	}
 	time.Sleep(settleTime + 2*time.Second)
-	return f.playTakeUps(), nil
+	end := syscall.SIGTERM
+	if trouble == "kill" {
+		end = syscall.SIGKILL
+	}
+	return f.playTakeUps(longEvents, end), nil
 }
 
 // playUnwritten plays the kill of one machine that the store turns away, while replicas of two
@@ -64,12 +74,12 @@
 		defer open.Stop()
 		time.Sleep(time.Second)
 	}
-	return f.playTakeUps(), nil
+	return f.playTakeUps(streamEvents, syscall.SIGKILL), nil
 }
 
-// playTakeUps begins streams at all machines, more of them at the first one, which is then killed. Its
-// clients take their streams up at the others. It reports whether the rule was broken.
-func (f *fleet) playTakeUps() bool {
+// playTakeUps begins streams at all machines, more of them at the first one, to which a signal is then
+// sent. Its clients take their streams up at the others. It reports whether the rule was broken.
+func (f *fleet) playTakeUps(events int, end syscall.Signal) bool {
 	var t takeUps
 	var work sync.WaitGroup
 	for i := range 2 * versionStreams {
@@ -78,16 +88,18 @@
 			at = f.machines[1+i/2%4]
 		}
 		s := &stream{name: fmt.Sprint("s", i)}
-		work.Go(func() { f.follow(&t, at, s, i) })
+		work.Go(func() { f.follow(&t, at, s, i, events) })
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(1500 * time.Millisecond)
 	if trouble != "0" {
-		if err := f.machines[0].signal(syscall.SIGKILL); err != nil {
+		if err := f.machines[0].signal(end); err != nil {
 			f.record.say("%v", err)
 		}
 		f.machines[0].wait()
-		time.Sleep(3 * time.Second)
+		if end == syscall.SIGKILL {
+			time.Sleep(3 * time.Second)
+		}
 		if err := f.machines[0].start(); err != nil {
 			f.record.say("%v", err)
 		}
@@ -98,8 +110,9 @@
 }
 
 // follow reads a stream at a machine, and takes it up at the others, with two tries, if it breaks off.
-func (f *fleet) follow(t *takeUps, at *machine, s *stream, i int) {
-	f.client.read(at, s.name+"-a", s, 60, stride*streamEvents, 15*time.Second)
+func (f *fleet) follow(t *takeUps, at *machine, s *stream, i, events int) {
+	begun := time.Now()
+	f.client.read(at, s.name+"-a", s, 60, stride*events, streamDeadline)
 	t.mu.Lock()
 	t.sent++
 	if s.last > 0 {
@@ -112,7 +125,7 @@
 	before := s.last
 	for try := range 2 {
 		time.Sleep(time.Duration(100+900*try) * time.Millisecond)
-		f.client.read(f.machines[1+(i+try)%4], fmt.Sprint(s.name, "-", try), s, 60, stride*streamEvents, 10*time.Second)
+		f.client.read(f.machines[1+(i+try)%4], fmt.Sprint(s.name, "-", try), s, 60, stride*events, streamDeadline-time.Since(begun))
 		if s.whole || s.last > before {
 			break
 		}
