--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// versionStreams is the number of streams that are open as the machine is killed.
+	// versionStreams is the number of streams that are open as the machine ends.
 	versionStreams = 24
+	// startDelay is the time after which a process that has ended is started again.
+	startDelay = 500 * time.Millisecond
 	// streamEvents and streamGap make a stream: 40 events in 6 s.
 	streamEvents = 40
 	streamGap    = 150 * time.Millisecond
@@ -22,10 +24,10 @@
 	maxMixed = 2
 )
 
-// playVersions plays a release, a drill of the store during it, and the kill of one machine. The
+// playVersions plays a release, a drill of the store during it, and the planned stop of one machine. The
 // clients of that machine take their streams up at the others.
 func playVersions(f *fleet) (bool, error) {
-	engine := func(r *replica) { r.events, r.gap = streamEvents, streamGap }
+	engine := func(r *replica) { r.events, r.gap = longEvents, streamGap }
 	if err := f.addReplicas("models", "v1", 4, engine); err != nil {
 		return false, err
 	}
@@ -42,43 +44,47 @@
 		return false, err
 	}
 	time.Sleep(copyAge)
-	if trouble != "0" && trouble != "kill" {
+	if trouble != "0" && trouble != "stop" {
 		if err := f.platform.drill(older, awayTime); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(settleTime + time.Second)
-	streams := f.runStreams(trouble != "0")
-	return f.judgeVersions(streams), nil
+	end := syscall.SIGTERM
+	if trouble == "kill" {
+		end = syscall.SIGKILL
+	}
+	return f.judgeVersions(f.runStreams(end)), nil
 }
 
-// runStreams begins streams at the first machine, which is killed while they are open if kill is set.
-// Clients take their streams up at the other machines.
-func (f *fleet) runStreams(kill bool) []*stream {
+// runStreams begins streams at the first machine, to which a signal is sent while they are open. Clients
+// take their streams up at the other machines.
+func (f *fleet) runStreams(end syscall.Signal) []*stream {
 	var work sync.WaitGroup
 	var streams []*stream
 	for i := range versionStreams {
 		s := &stream{name: fmt.Sprint("s", i)}
 		streams = append(streams, s)
 		work.Go(func() {
-			f.client.read(f.machines[0], s.name+"-a", s, 60, stride*streamEvents, 15*time.Second)
+			begun := time.Now()
+			f.client.read(f.machines[0], s.name+"-a", s, 60, stride*longEvents, streamDeadline)
 			for try := range 3 {
 				if s.whole {
 					return
 				}
 				time.Sleep(50 * time.Millisecond)
-				f.client.read(f.machines[1+(i+try)%4], fmt.Sprint(s.name, "-", try), s, 60, stride*streamEvents, 10*time.Second)
+				f.client.read(f.machines[1+(i+try)%4], fmt.Sprint(s.name, "-", try), s, 60, stride*longEvents, streamDeadline-time.Since(begun))
 			}
 		})
 		time.Sleep(20 * time.Millisecond)
 	}
 	time.Sleep(1500 * time.Millisecond)
-	if kill {
-		if err := f.machines[0].signal(syscall.SIGKILL); err != nil {
+	if trouble != "0" {
+		if err := f.machines[0].signal(end); err != nil {
 			f.record.say("%v", err)
 		}
 		f.machines[0].wait()
-		time.Sleep(3 * time.Second)
+		time.Sleep(startDelay)
 		if err := f.machines[0].start(); err != nil {
 			f.record.say("%v", err)
 		}
