--- a/review/stand/machine.go
+++ b/review/stand/machine.go
@@ -34,16 +34,23 @@
 	cmd *exec.Cmd
 }
 
+// claimed are the addresses that freeAddress has returned.
+var claimed = map[string]bool{}
+
 // freeAddress returns a loopback address whose port is free, below those that the system gives to
 // outgoing connections.
 func freeAddress() (string, error) {
 	for range 1000 {
 		address := "127.0.0.1:" + strconv.Itoa(11_000+rand.IntN(19_000))
+		if claimed[address] {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		l.Close()
+		claimed[address] = true
 		return address, nil
 	}
 	return "", fmt.Errorf("no free port on loopback")
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -32,6 +32,9 @@
 	"drain":       {fiveMachines, playDrain},
 	"split":       {fiveMachines, playSplit},
 	"unwritten":   {fiveMachines, playUnwritten},
+	"reborn":      {fiveMachines, playReborn},
+	"unseen":      {fiveMachines, playUnseen},
+	"earlier":     {fiveMachines, playEarlier},
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -23,11 +23,12 @@
 	server                     *http.Server
 	address                    string
 
-	mu    sync.Mutex
-	seq   int
-	state string
-	runs  map[string]int // by attempt ID
-	onRun func(r *replica, id, tenant string)
+	mu     sync.Mutex
+	seq    int
+	state  string
+	runs   map[string]int // by attempt ID
+	onRun  func(r *replica, id, tenant string)
+	leaves bool // says in its answers that it leaves
 }
 
 // start listens on a free loopback port and serves.
@@ -36,12 +37,51 @@
 	if err != nil {
 		return err
 	}
-	r.address, r.born, r.state, r.runs = l.Addr().String(), time.Now().UnixMilli(), "ready", map[string]int{}
-	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(l) }()
+	r.address, r.runs = l.Addr().String(), map[string]int{}
+	r.serve(l)
 	return nil
 }
 
+// serve begins an incarnation of the replica at its address.
+func (r *replica) serve(l net.Listener) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born, r.state, r.seq, r.leaves = time.Now().UnixMilli(), "ready", 0, false
+	s := &http.Server{Handler: r}
+	r.server = s
+	go func() { _ = s.Serve(l) }()
+}
+
+// crash ends the replica with its connections.
+func (r *replica) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.say("replica %s (%s) crashes", r.id, r.version)
+	r.server.Close()
+}
+
+// restart starts the replica again under its ID at its address, at a software version.
+func (r *replica) restart(version string) error {
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.version = version
+	r.mu.Unlock()
+	r.serve(l)
+	r.record.say("replica %s starts again, at %s", r.id, version)
+	return nil
+}
+
+// leave makes the replica say in its answers, and in its next entry, that it leaves.
+func (r *replica) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaves, r.state = true, "draining"
+	r.record.say("replica %s says that it leaves", r.id)
+}
+
 // entry returns the replica's entry in the platform's store.
 func (r *replica) entry() (any, error) {
 	r.mu.Lock()
@@ -65,8 +105,12 @@
 	tenant := q.Header.Get(r.names["tenant"])
 	r.mu.Lock()
 	r.runs[id]++
+	if r.leaves {
+		w.Header().Set(r.names["leaving"], "1")
+	}
+	version := r.version
 	r.mu.Unlock()
-	r.record.add("run      %s at %s (%s) for %s, last event %q", id, r.id, r.version, tenant, q.Header.Get(r.names["lastEvent"]))
+	r.record.add("run      %s at %s (%s) for %s, last event %q", id, r.id, version, tenant, q.Header.Get(r.names["lastEvent"]))
 	if r.onRun != nil {
 		r.onRun(r, id, tenant)
 	}
@@ -76,11 +120,11 @@
 		fmt.Fprintf(w, "%s %s of %s for %s\n", q.Method, q.URL.Path, id, tenant)
 		return
 	}
-	r.stream(w, q)
+	r.stream(w, q, version)
 }
 
 // stream writes the events after the one that the request names, until the client leaves.
-func (r *replica) stream(w http.ResponseWriter, q *http.Request) {
+func (r *replica) stream(w http.ResponseWriter, q *http.Request, version string) {
 	first := 1
 	if last, err := strconv.Atoi(q.Header.Get(r.names["lastEvent"])); err == nil {
 		first = last + 1
@@ -99,7 +143,7 @@
 			return
 		case <-time.After(r.gap):
 		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i, i, r.version)
+		fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i, i, version)
 		if err := control.Flush(); err != nil {
 			return
 		}
