--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -64,7 +64,7 @@
 		os.Exit(exitNotRun)
 	}()
 	broken, err := cases[os.Args[1]].play(f)
-	f.close("drill", "era", "origin: listed", "ledger: wrote back", "older copy")
+	f.close("drill", "era", "origin: listed", "ledger: wrote back", "older copy", "budget: ")
 	code := exitHeld
 	switch {
 	case err != nil:
