--- a/review/stand/machine.go
+++ b/review/stand/machine.go
@@ -121,10 +121,12 @@
 	return m.cmd.Process.Signal(s)
 }
 
-// wait waits until the process has ended.
+// wait waits until the process has ended, and kills it after graceTime.
 func (m *machine) wait() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	kill := time.AfterFunc(graceTime, func() { _ = m.cmd.Process.Kill() })
+	defer kill.Stop()
 	err := m.cmd.Wait()
 	m.record.say("%s: process has ended (%v)", m.name, err)
 }
