--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -10,6 +10,11 @@
 const (
 	// versionStreams is the number of streams that are open as the machine ends.
 	versionStreams = 24
+	// releaseCount is the number of replicas that are replaced, of releaseOf, one at a time and
+	// releaseGap apart.
+	releaseCount = 3
+	releaseOf    = 8
+	releaseGap   = time.Second
 	// startDelay is the time after which a process that has ended is started again.
 	startDelay = 500 * time.Millisecond
 	// streamEvents and streamGap make a stream: 40 events in 6 s.
@@ -18,7 +23,7 @@
 	// settleTime is stabilityMs: after it, calm machines are in touch again.
 	settleTime = 3 * time.Second
 	// copyAge is how old the copy is from which the store comes back, and awayTime how long it is away.
-	copyAge  = 3 * time.Second
+	copyAge  = releaseCount * releaseGap
 	awayTime = 500 * time.Millisecond
 	// maxMixed is the number of mixed streams that the rule allows.
 	maxMixed = 2
@@ -28,7 +33,7 @@
 // clients of that machine take their streams up at the others.
 func playVersions(f *fleet) (bool, error) {
 	engine := func(r *replica) { r.events, r.gap = longEvents, streamGap }
-	if err := f.addReplicas("models", "v1", 4, engine); err != nil {
+	if err := f.addReplicas("models", "v1", releaseOf, engine); err != nil {
 		return false, err
 	}
 	if err := f.platform.configure(1_000_000_000); err != nil {
@@ -40,10 +45,9 @@
 	time.Sleep(2 * time.Second)
 	older := f.platform.Copy()
 	f.record.say("the store makes a copy")
-	if err := f.addReplicas("models", "v2", 4, engine); err != nil {
+	if err := f.release(engine); err != nil {
 		return false, err
 	}
-	time.Sleep(copyAge)
 	if trouble != "0" && trouble != "stop" {
 		if err := f.platform.drill(older, awayTime); err != nil {
 			return false, err
@@ -57,6 +61,28 @@
 	return f.judgeVersions(f.runStreams(end)), nil
 }
 
+// release replaces replicas one after the other, which takes copyAge: the new one starts first, the old
+// one drains, and goes on serving until the end.
+func (f *fleet) release(engine func(r *replica)) error {
+	old := f.platform.replicas[:releaseCount]
+	for i := range releaseCount {
+		r := &replica{
+			id: fmt.Sprint("i-models-v2-", i), service: "models", zone: old[i].zone, version: "v2", slots: 128,
+			names: f.names, record: f.record,
+		}
+		engine(r)
+		if err := f.platform.register(r); err != nil {
+			return err
+		}
+		old[i].leave()
+		if err := f.platform.beat(old[i]); err != nil {
+			return err
+		}
+		time.Sleep(releaseGap)
+	}
+	return nil
+}
+
 // runStreams begins streams at the first machine, to which a signal is sent while they are open. Clients
 // take their streams up at the other machines.
 func (f *fleet) runStreams(end syscall.Signal) []*stream {
