forward/origin: the list of versions is completed again after a loss of the store

Cause: after the drill the list of versions was that of an older copy. Instances compared endpoints with their memory of the list only, so none wrote the lost version again, and a take-up believed the list as read. Ruled out: that origins of streams were missing; the read left them out, as one version was listed. Change: the list names the era of the store in which it was complete. In a later one instances add what they remember, and no origin follows from the list until it is complete. Stored origins are written again.

--- a/internal/forward/origin/codec.go
+++ b/internal/forward/origin/codec.go
@@ -23,7 +23,8 @@
 
 // versionsJSON is the value of the object that lists versions.
 type versionsJSON struct {
-	Services map[string][]string `json:"services"` // sorted versions by service
+	Services map[string][]string `json:"services"`      // sorted versions by service
+	Era      int64               `json:"era,omitempty"` // see storedListing; builds before it drop the field
 }
 
 // streamsJSON is the value of the object with the origins of one instance's streams.
@@ -100,17 +101,24 @@
 	return merged
 }
 
-func encodeListing(l listing) ([]byte, error) {
-	data, err := json.Marshal(versionsJSON{Services: l})
+// storedListing is the list of versions as the platform holds it.
+type storedListing struct {
+	listing
+	era     int64 // last era of the platform in which the list was known to be complete
+	version int64 // of its object, 0 if there is none
+}
+
+func encodeListing(s storedListing) ([]byte, error) {
+	data, err := json.Marshal(versionsJSON{Services: s.listing, Era: s.era})
 	return data, errors.Wrap(err, "origin: encode the listed versions")
 }
 
-func decodeListing(data []byte) (listing, error) {
+func decodeListing(data []byte) (storedListing, error) {
 	var j versionsJSON
 	if err := json.Unmarshal(data, &j); err != nil {
-		return nil, errors.Wrap(err, "origin: decode the listed versions")
+		return storedListing{}, errors.Wrap(err, "origin: decode the listed versions")
 	}
-	return j.Services, nil
+	return storedListing{listing: j.Services, era: j.Era}, nil
 }
 
 // encodeStreams encodes the origins of streams.
--- a/internal/forward/origin/find.go
+++ b/internal/forward/origin/find.go
@@ -29,10 +29,16 @@
 	askHeadStart = 15 * time.Millisecond
 )
 
-// reading is what one read from the platform has shown.
+// errUnsettled means that the platform has lost writes, and what instances remember of them is not
+// written again yet.
+var errUnsettled = errors.New("origin: the platform has lost writes a moment ago")
+
+// reading is what one read from the platform has shown, with the versions that this instance knows to
+// be listed.
 type reading struct {
 	begunAt time.Time
 	listed  listing
+	settled bool              // no listed version is missing
 	streams map[digest]Origin // if the service has several listed versions
 	err     error
 }
@@ -121,10 +127,12 @@
 	if got.err != nil {
 		return answer{err: got.err}
 	}
-	r.Merge(got.listed)
 	if o, ok := got.streams[id]; ok {
 		return answer{origin: o, found: true}
 	}
+	if !got.settled {
+		return answer{err: errUnsettled}
+	}
 	if len(services) == 1 && len(got.listed[services[0]]) == 1 {
 		return answer{origin: Origin{Service: services[0], Version: got.listed[services[0]][0]}, found: true}
 	}
@@ -147,7 +155,13 @@
 	}
 	ctx = context.WithoutCancel(ctx) // others wait for the result too
 	got := reading{begunAt: time.Now()}
-	got.listed, _, got.err = r.readListing(ctx)
+	stored, err := r.readListing(ctx)
+	if got.err = err; err == nil {
+		r.Merge(stored.listing)
+		r.noteStored(stored.era)
+		got.listed, _ = stored.with(r.Listing())
+		got.settled = r.settled()
+	}
 	if got.err == nil && len(got.listed.mixed()) > 0 {
 		got.streams, got.err = r.readStreams(ctx)
 	}
--- a/internal/forward/origin/list.go
+++ b/internal/forward/origin/list.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/internal/fleet/pause"
@@ -53,38 +54,38 @@
 	}
 }
 
-// listNow lists the versions of the endpoints that are not known to be listed. Instances that
-// find the same one missing write at different times, so that one write serves all.
+// listNow lists the versions of the endpoints that are not known to be listed. After the platform has
+// lost writes it also lists again what this instance remembers, and after a time notes that the list is
+// complete. Instances that find the same one missing write at different times, so that one write
+// serves all.
 func (r *Register) listNow(ctx context.Context) error {
 	for try := 0; ; try++ {
 		r.noteSeen(time.Now()) // so that Merge takes versions that are back
 		l := listing(r.Listing())
 		wanted, missing := l.with(r.Versions())
-		if !missing {
+		if !missing && r.settled() {
 			return nil
 		}
-		stored, version, err := r.readListing(ctx)
+		stored, err := r.readListing(ctx)
 		if errors.Is(err, errUnreadable) {
 			r.Logger.WithError(err).Warn("origin: replacing the listed versions, which cannot be read")
-			stored, err = l.withUnreadable(r.Versions()), nil
+			stored.listing, err = l.withUnreadable(r.Versions()), nil
 		}
 		if err != nil {
 			return err
 		}
-		r.Merge(stored)
+		r.Merge(stored.listing)
+		r.noteStored(stored.era)
 		wanted, missing = stored.with(wanted)
-		if !missing {
-			continue
+		era := r.eraToNote(stored.era)
+		if !missing && era == stored.era {
+			return nil
 		}
 		if try == 0 && r.Members() > 1 {
 			pause.For(ctx, rand.N(time.Duration(r.Members())*writeSpread))
 			continue
 		}
-		data, err := encodeListing(wanted)
-		if err != nil {
-			return err
-		}
-		err = r.writeListing(ctx, version, data)
+		err = r.writeListing(ctx, storedListing{listing: wanted, era: era, version: stored.version})
 		if errors.Is(err, object.ErrConflict) {
 			continue
 		}
@@ -92,7 +93,8 @@
 			return err
 		}
 		r.Merge(wanted)
-		r.Logger.WithField("versions", wanted).Info("origin: listed versions at which streams may begin")
+		r.noteStored(era)
+		r.Logger.WithFields(log.Fields{"versions": wanted, "era": era}).Info("origin: listed versions at which streams may begin")
 		return nil
 	}
 }
@@ -160,15 +162,12 @@
 	if len(old) == 0 {
 		return nil
 	}
-	stored, version, err := r.readListing(ctx)
-	if err != nil || version == 0 {
+	stored, err := r.readListing(ctx)
+	if err != nil || stored.version == 0 {
 		return err
 	}
-	data, err := encodeListing(stored.without(old))
-	if err != nil {
-		return err
-	}
-	if err := r.writeListing(ctx, version, data); errors.Is(err, object.ErrConflict) {
+	stored.listing = stored.without(old)
+	if err := r.writeListing(ctx, stored); errors.Is(err, object.ErrConflict) {
 		return nil // the next call tries again
 	} else if err != nil {
 		return err
@@ -178,28 +177,30 @@
 	return nil
 }
 
-// readListing reads the listed versions and the version of their object, 0 if there is none.
-func (r *Register) readListing(ctx context.Context) (listing, int64, error) {
+// readListing reads the listed versions, none if there is no list.
+func (r *Register) readListing(ctx context.Context) (storedListing, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	o, err := r.Store.Get(ctx, VersionsKind, versionsName)
 	if errors.Is(err, object.ErrNotFound) {
-		return nil, 0, nil
-	}
-	if err != nil {
-		return nil, 0, err
+		return storedListing{}, nil
 	}
-	l, err := decodeListing(o.Value())
 	if err != nil {
-		return nil, o.Version(), errors.Mark(err, errUnreadable)
+		return storedListing{}, err
 	}
-	return l, o.Version(), nil
+	stored, err := decodeListing(o.Value())
+	stored.version = o.Version()
+	return stored, errors.Mark(err, errUnreadable)
 }
 
-// writeListing replaces the object that lists versions, whose present version is given.
-func (r *Register) writeListing(ctx context.Context, version int64, data []byte) error {
+// writeListing replaces the list of versions, whose object must have the version of s.
+func (r *Register) writeListing(ctx context.Context, s storedListing) error {
+	data, err := encodeListing(s)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := r.Store.Put(ctx, VersionsKind, versionsName, version, data)
+	_, err = r.Store.Put(ctx, VersionsKind, versionsName, s.version, data)
 	return err
 }
--- a/internal/forward/origin/register.go
+++ b/internal/forward/origin/register.go
@@ -42,11 +42,12 @@
 
 	streams book
 
-	mu      sync.Mutex
-	listed  listing              // versions that are known to be listed
-	ready   chan struct{}        // see Ready
-	seenAt  map[Origin]time.Time // when a listed version last had an endpoint, or was first found listed
-	retired map[Origin]bool      // versions that this instance has taken off the list
+	mu       sync.Mutex
+	listed   listing              // versions that are known to be listed
+	ready    chan struct{}        // see Ready
+	seenAt   map[Origin]time.Time // when a listed version last had an endpoint, or was first found listed
+	retired  map[Origin]bool      // versions that this instance has taken off the list
+	settling settling             // whether the list is complete in the platform's era
 
 	readMu   sync.Mutex // held during a read for Find, so that those who wait share the next one
 	lastRead reading
--- a/internal/forward/origin/register_test.go
+++ b/internal/forward/origin/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -19,9 +20,36 @@
 	mu      sync.Mutex
 	objects map[string]object.Object // by kind and name
 	version int64
+	era     int64
 	down    bool
 }
 
+// copyObjects returns the objects as they are now.
+func (p *platform) copyObjects() map[string]object.Object {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.objects)
+}
+
+// restore puts the platform back to older objects, in a new era.
+func (p *platform) restore(objects map[string]object.Object) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects = objects
+	p.era++
+}
+
+// listing returns the versions of service s that the platform has listed.
+func (p *platform) listing() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := decodeListing(p.objects[VersionsKind+"/"+versionsName].Value())
+	if err != nil {
+		return nil
+	}
+	return l.listing["s"]
+}
+
 func (p *platform) store() *object.Store {
 	return &object.Store{
 		Get: func(_ context.Context, kind, name string) (object.Object, error) {
@@ -63,6 +91,11 @@
 			}
 			return object.NewPage(objects, p.version), nil
 		},
+		Era: func() (int64, bool) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.era, true
+		},
 	}
 }
 
@@ -326,3 +359,90 @@
 		t.Errorf("500 take-ups in half a second read from the platform %d times, want at most %d", reads, most)
 	}
 }
+
+// Guards against streams that go on at another version after the store has come back from a copy that
+// is older than the list of versions (review/2).
+func TestListedVersionsSurviveALossOfTheStore(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	f.setVersions(t, a, "v1")
+	older := f.copyObjects()
+	f.setVersions(t, a, "v1", "v2")
+	f.waitFor(t, "the other instance knows it too", func() bool { return b.Listed("s", "v2") })
+	a.Began("q2", Origin{"s", "v2"}, time.Now().Add(time.Second))
+	f.restore(older)
+	f.kill("a")
+	for _, name := range []string{"b", "c"} { // c has not seen the list before the loss
+		r := b
+		if name == "c" {
+			r = f.start("c")
+		}
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			if v, err := find(r, "q2"); err == nil && v != "v2" {
+				t.Fatalf("instance %s: the stream began at v2 and is to go on at %q", name, v)
+			}
+		}
+	}
+	if got := f.listing(); !slices.Equal(got, []string{"v1", "v2"}) {
+		t.Errorf("the platform lists %v, want v1 and v2 again", got)
+	}
+}
+
+// Guards against take-ups that are refused for long after a loss of the store, when all instances that
+// knew the list have ended with it.
+func TestTakeUpsGoOnAfterALossOfTheStoreAndAKillOfAll(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("a")
+	f.setVersions(t, a, "v1")
+	f.restore(f.copyObjects())
+	f.kill("a")
+	b := f.start("b")
+	if _, err := find(b, "lost"); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("just after the loss: got error %v, want ErrUnreachable", err)
+	}
+	f.waitFor(t, "take-ups go on at the one version", func() bool {
+		v, err := find(b, "lost")
+		return err == nil && v == "v1"
+	})
+}
+
+// Guards against stored origins that stay lost after the store has come back from an older copy.
+func TestStoredOriginsAreWrittenAgainAfterALossOfTheStore(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("a")
+	f.setVersions(t, a, "v1", "v2")
+	older := f.copyObjects()
+	a.Began("q2", Origin{"s", "v2"}, time.Now().Add(time.Minute))
+	stored := func() bool { return len(f.copyObjects()[StreamsKind+"/a"].Value()) > 0 }
+	f.waitFor(t, "the origin is stored", stored)
+	f.restore(older)
+	f.waitFor(t, "the origin is stored again", stored)
+	f.kill("a")
+	b := f.start("b")
+	f.waitFor(t, "the stream goes on at its version", func() bool {
+		v, err := find(b, "q2")
+		return err == nil && v == "v2"
+	})
+}
+
+// The build before writes the list without the era. What it adds must not keep take-ups from going on,
+// and what it finds must be readable for it.
+func TestListWithoutEraOfTheBuildBefore(t *testing.T) {
+	f := newFleet(t)
+	f.era = 3
+	before := func(services string) {
+		f.platform.mu.Lock()
+		defer f.platform.mu.Unlock()
+		f.version++
+		f.objects[VersionsKind+"/"+versionsName] = object.New(VersionsKind, versionsName, f.version, []byte(`{"services":`+services+`}`))
+	}
+	before(`{"s":["v1"]}`)
+	a := f.start("a")
+	goesOn := func() bool {
+		v, err := find(a, "lost")
+		return err == nil && v == "v1"
+	}
+	f.waitFor(t, "take-ups go on at the one version", goesOn)
+	before(`{"s":["v1"],"other":["v9"]}`)
+	f.waitFor(t, "take-ups go on after the build before has written the list", goesOn)
+}
--- a/internal/forward/origin/store.go
+++ b/internal/forward/origin/store.go
@@ -25,14 +25,15 @@
 func (r *Register) storeStreams(ctx context.Context) {
 	var version int64
 	var earlier map[digest]Origin
-	known, keepUntil, mixedBefore := false, time.Now().Add(2*keepTime), 0
+	known, keepUntil, mixedBefore, eraBefore := false, time.Now().Add(2*keepTime), 0, int64(0)
 	for ctx.Err() == nil {
 		pause.For(ctx, r.storeInterval())
 		mixed := listing(r.Listing()).mixed()
-		if len(mixed) == 0 || !r.streams.takeChanged() && len(mixed) == mixedBefore {
+		era := r.era()
+		if len(mixed) == 0 || !r.streams.takeChanged() && len(mixed) == mixedBefore && era == eraBefore {
 			continue
 		}
-		mixedBefore = len(mixed)
+		mixedBefore, eraBefore = len(mixed), era
 		if !known {
 			v, streams, err := r.readOwn(ctx)
 			if err != nil {
