fleet/drain: close a connection with its response in a planned stop

Cause: only requests that arrive after the SIGTERM get Connection: close. A response that had begun before kept its connection, and the next request was read within the 20 ms between two looks at idle connections. Ruled out: new connections (refused by then) and the end of the grace itself (7.1 s). Change: after DisableKeepAlives a connection is closed when its response has ended, and each response that begins from then on announces it, whenever its request came. Before: TestConnectionEndsWithAResponseThatBeganBefore (2 requests reached the handler, 1 expected) and TestResponseThatBeginsLaterAnnouncesTheEndOfItsConnection fail.

--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -38,9 +38,10 @@
 // connections from the result of Listener and use the result of Handler as its handler.
 // The server's field ConnState must be the method ConnState of this Conns.
 type Conns struct {
-	mu           sync.Mutex
-	open         map[*conn]struct{} // connections that were accepted and not closed yet
-	noKeepAlives bool               // set by DisableKeepAlives
+	noKeepAlives atomic.Bool // set by DisableKeepAlives
+
+	mu   sync.Mutex
+	open map[*conn]struct{} // connections that were accepted and not closed yet
 }
 
 // Listener returns a listener that accepts connections from l and adds them to d.
@@ -48,38 +49,36 @@
 	return &listener{Listener: l, conns: d, done: make(chan struct{})}
 }
 
-// Handler returns a handler that calls next. After DisableKeepAlives, it also makes the
-// server close the connection after the response.
+// Handler returns a handler that calls next. Responses that begin after DisableKeepAlives
+// announce that the server closes the connection.
 func (d *Conns) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.keepAlivesDisabled() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+		rw := &responseWriter{ResponseWriter: w, conns: d}
+		next.ServeHTTP(rw, r)
+		rw.begin()
 	})
 }
 
 // ConnState is the callback for http.Server.ConnState. It records that a connection has
-// become idle, and ignores all other states.
+// become idle, and ignores all other states. After DisableKeepAlives it closes the connection: the
+// response that has just ended may have begun before, and then did not announce that. The server
+// has not read the next request yet.
 func (d *Conns) ConnState(nc net.Conn, s http.ConnState) {
-	if c, ok := nc.(*conn); ok && s == http.StateIdle {
-		c.markIdle()
+	c, ok := nc.(*conn)
+	if !ok || s != http.StateIdle {
+		return
+	}
+	c.markIdle()
+	if d.noKeepAlives.Load() {
+		if err := c.Close(); err != nil {
+			return // the caller has closed it
+		}
 	}
 }
 
-// DisableKeepAlives makes the server close a connection after its next response. It
-// applies to each request that reaches the handler after this call.
-func (d *Conns) DisableKeepAlives() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.noKeepAlives = true
-}
-
-func (d *Conns) keepAlivesDisabled() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.noKeepAlives
-}
+// DisableKeepAlives makes the server close each connection after its present or next
+// response.
+func (d *Conns) DisableKeepAlives() { d.noKeepAlives.Store(true) }
 
 // Len returns the number of open connections that were accepted from the listener.
 func (d *Conns) Len() int {
--- a/internal/fleet/drain/drain_test.go
+++ b/internal/fleet/drain/drain_test.go
@@ -1,11 +1,13 @@
 package drain
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -150,3 +152,88 @@
 		t.Error(err)
 	}
 }
+
+// Guards against requests that are taken late in a planned stop (review/4): a response that had begun
+// before keep-alives were disabled says nothing of the end of its connection, so the connection must end
+// with it, before the next request is read.
+func TestConnectionEndsWithAResponseThatBeganBefore(t *testing.T) {
+	var d Conns
+	var requests atomic.Int64
+	entered, release := make(chan struct{}), make(chan struct{})
+	address, stop := serve(t, &d, func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) > 1 {
+			return
+		}
+		io.WriteString(w, "first half, ")
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			t.Error(err)
+		}
+		close(entered)
+		<-release
+		io.WriteString(w, "second half")
+	})
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	io.WriteString(nc, request)
+	<-entered
+	d.DisableKeepAlives()
+	close(release)
+	br := bufio.NewReader(nc)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "first half, second half" {
+		t.Errorf("got body %q, error %v, want both halves", body, err)
+	}
+	io.WriteString(nc, request) // an error means that the connection has ended already
+	nc.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := br.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a read after the response returned error %v, want the end of the connection", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := stop(ctx); err != nil {
+		t.Error(err)
+	}
+	if n := requests.Load(); n != 1 {
+		t.Errorf("%d requests reached the handler, want 1", n)
+	}
+}
+
+// A response that begins after keep-alives were disabled says so, also if its request came before.
+func TestResponseThatBeginsLaterAnnouncesTheEndOfItsConnection(t *testing.T) {
+	for name, respond := range map[string]func(w http.ResponseWriter){
+		"status": func(w http.ResponseWriter) { w.WriteHeader(http.StatusNoContent) },
+		"body":   func(w http.ResponseWriter) { io.WriteString(w, "ok") },
+		"flush": func(w http.ResponseWriter) {
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				t.Error(err)
+			}
+		},
+		"nothing": func(http.ResponseWriter) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var d Conns
+			address, stop := serve(t, &d, func(w http.ResponseWriter, _ *http.Request) {
+				d.DisableKeepAlives()
+				respond(w)
+			})
+			resp, err := http.Get("http://" + address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if !resp.Close {
+				t.Error("the response does not announce the end of its connection")
+			}
+			if err := stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
