forward/origin: store the origins of streams on split routes

Cause: origins are stored only for services with several versions, and a take-up with two services to choose from can't be answered by the list of versions. Ruled out: that peers are not asked; the only one that knew was gone. Change: a service that shares a route with streams is ambiguous like one with several versions. Before: TestServiceOfASplitRouteIsFoundAfterTheStopOfAnInstance fails (ErrUnknown for all three streams).

--- a/internal/fleet/front/peers.go
+++ b/internal/fleet/front/peers.go
@@ -55,6 +55,7 @@
 		Instance: s.Name(), Store: store, WriteRate: s.Forward().WriteRate, Logger: logger,
 		Members: func() int { return t.Others() + 1 },
 		Changed: f.applied.Changed, Ask: c.FindOrigin,
+		Split: func() map[string]bool { return routes.Table().SplitServices() },
 		Versions: func() map[string][]string {
 			versions := map[string][]string{}
 			for _, service := range routes.Table().StreamServices() {
--- a/internal/forward/origin/doc.go
+++ b/internal/forward/origin/doc.go
@@ -5,8 +5,8 @@
 // of others. For the time after a kill of all instances, the platform holds two things. The
 // first is the list of the versions at which streams have begun, by service: an instance
 // begins no stream at a version that is not listed. While a service has one listed version, that is
-// the origin of all its streams. While it has several, each instance also stores the origins of
-// its streams in an object of its own, at intervals.
+// the origin of all its streams. While it has several, or shares a route with another service, each
+// instance also stores the origins of its streams in an object of its own, at intervals.
 //
 // An origin that is found nowhere is unknown. It is never derived from the endpoints that are
 // present now, because the version that began the stream may have left since.
--- a/internal/forward/origin/find.go
+++ b/internal/forward/origin/find.go
@@ -39,7 +39,8 @@
 	begunAt time.Time
 	listed  listing
 	settled bool              // no listed version is missing
-	streams map[digest]Origin // if the service has several listed versions
+	stored  bool              // the stored origins were read
+	streams map[digest]Origin // the stored origins
 	err     error
 }
 
@@ -123,7 +124,7 @@
 // askStore looks for the origin of a stream on the platform, in what is read there from the time
 // since on.
 func (r *Register) askStore(ctx context.Context, id digest, services []string, since time.Time) answer {
-	got := r.read(ctx, since)
+	got := r.read(ctx, since, len(services) > 1)
 	if got.err != nil {
 		return answer{err: got.err}
 	}
@@ -139,13 +140,13 @@
 	return answer{}
 }
 
-// read reads the listed versions, and the stored origins if a service has several versions. A
-// read that began at the time since or later serves all that wait for one.
-func (r *Register) read(ctx context.Context, since time.Time) reading {
+// read reads the listed versions, and the stored origins if a service is ambiguous or the caller wants
+// them. A read that began at the time since or later serves all that wait for one.
+func (r *Register) read(ctx context.Context, since time.Time, wantStored bool) reading {
 	r.readMu.Lock()
 	defer r.readMu.Unlock()
-	if !r.lastRead.begunAt.Before(since) {
-		return r.lastRead
+	if last := r.lastRead; !last.begunAt.Before(since) && (last.stored || last.err != nil || !wantStored) {
+		return last
 	}
 	interval := max(minReadInterval, time.Duration(r.Members())*readSpread)
 	if wait := interval - time.Since(r.lastRead.begunAt); wait > maxReadWait {
@@ -162,8 +163,9 @@
 		got.listed, _ = stored.with(r.Listing())
 		got.settled = r.settled()
 	}
-	if got.err == nil && len(got.listed.mixed()) > 0 {
+	if got.err == nil && (wantStored || len(r.ambiguous(got.listed)) > 0) {
 		got.streams, got.err = r.readStreams(ctx)
+		got.stored = got.err == nil
 	}
 	r.lastRead = got
 	return got
--- a/internal/forward/origin/register.go
+++ b/internal/forward/origin/register.go
@@ -34,6 +34,7 @@
 	WriteRate int                        // writes per second that the platform accepts, 0 if not known
 	Members   func() int                 // number of live instances
 	Versions  func() map[string][]string // versions of the known endpoints, by service
+	Split     func() map[string]bool     // services that share a route with another one; nil for none
 	Changed   func() <-chan struct{}     // closed at the next change of what Versions returns
 	// Ask asks the peers for the origin of a stream, and returns it if one knows it.
 	// Complete reports that all peers have replied.
@@ -53,8 +54,8 @@
 	lastRead reading
 }
 
-// Run lists the versions of the endpoints, and stores the origins of streams while a service
-// has several versions, until ctx ends.
+// Run lists the versions of the endpoints, and stores the origins of the streams of ambiguous
+// services, until ctx ends.
 func (r *Register) Run(ctx context.Context) {
 	var work sync.WaitGroup
 	work.Go(func() { r.listVersions(ctx) })
@@ -99,6 +100,16 @@
 	return maps.Clone(r.listed)
 }
 
+// ambiguous returns the services whose streams may have begun elsewhere or at another version, as far as
+// the list and the routes tell: those with several listed versions, and those that share a route.
+func (r *Register) ambiguous(l listing) map[string]bool {
+	services := l.mixed()
+	if r.Split != nil {
+		maps.Copy(services, r.Split())
+	}
+	return services
+}
+
 // Merge adds versions that a peer knows to be listed.
 func (r *Register) Merge(other map[string][]string) {
 	r.mu.Lock()
--- a/internal/forward/origin/register_test.go
+++ b/internal/forward/origin/register_test.go
@@ -107,6 +107,7 @@
 	members  map[string]*Register // that run, by name
 	stops    map[string]func()
 	partial  bool // a peer does not reply
+	split    map[string]bool
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -131,6 +132,11 @@
 			defer f.mu.Unlock()
 			return f.versions
 		},
+		Split: func() map[string]bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.split
+		},
 		Changed: func() <-chan struct{} { return nil },
 		Ask: func(_ context.Context, id string) (Origin, bool, bool) {
 			f.mu.Lock()
@@ -446,3 +452,29 @@
 	before(`{"s":["v1"],"other":["v9"]}`)
 	f.waitFor(t, "take-ups go on after the build before has written the list", goesOn)
 }
+
+// Guards against streams of a split route that are lost with the instance that relayed them (review/5).
+func TestServiceOfASplitRouteIsFoundAfterTheStopOfAnInstance(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	f.setVersions(t, a, "v1")
+	a.Began("q0", Origin{"s", "v1"}, time.Now().Add(time.Minute)) // before the route is split
+	time.Sleep(2 * minStoreInterval)
+	f.mu.Lock()
+	f.versions = map[string][]string{"s": {"v1"}, "other": {"v1"}}
+	f.split = map[string]bool{"s": true, "other": true}
+	f.mu.Unlock()
+	f.waitFor(t, "the other service is listed", func() bool { return b.Listed("other", "v1") })
+	a.Began("q1", Origin{"other", "v1"}, time.Now().Add(time.Minute))
+	a.Began("q2", Origin{"s", "v1"}, time.Now().Add(time.Minute))
+	time.Sleep(2 * minStoreInterval)
+	f.kill("a")
+	for id, want := range map[string]Origin{"q0": {"s", "v1"}, "q1": {"other", "v1"}, "q2": {"s", "v1"}} {
+		if o, err := b.Find(context.Background(), id, []string{"s", "other"}); o != want || err != nil {
+			t.Errorf("stream %s: got origin %v, error %v, want %v", id, o, err, want)
+		}
+	}
+	if o, err := b.Find(context.Background(), "lost", []string{"s", "other"}); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a stream that nobody relayed: got origin %v, error %v, want ErrUnknown", o, err)
+	}
+}
--- a/internal/forward/origin/store.go
+++ b/internal/forward/origin/store.go
@@ -19,25 +19,24 @@
 	writeShare = 0.1
 )
 
-// storeStreams writes the origins of this instance's streams at services with several listed
-// versions, until ctx ends. What an earlier process of the instance has written stays for
-// keepTime.
+// storeStreams writes the origins of this instance's streams at ambiguous services, until ctx ends.
+// What an earlier process of the instance has written stays for keepTime.
 func (r *Register) storeStreams(ctx context.Context) {
 	var version int64
 	var earlier map[digest]Origin
-	known, keepUntil, mixedBefore, eraBefore := false, time.Now().Add(2*keepTime), 0, int64(0)
+	known, keepUntil, before, eraBefore := false, time.Now().Add(2*keepTime), 0, int64(0)
 	for ctx.Err() == nil {
 		pause.For(ctx, r.storeInterval())
-		mixed := listing(r.Listing()).mixed()
+		ambiguous := r.ambiguous(r.Listing())
 		era := r.era()
-		if len(mixed) == 0 || !r.streams.takeChanged() && len(mixed) == mixedBefore && era == eraBefore {
+		if len(ambiguous) == 0 || !r.streams.takeChanged() && len(ambiguous) == before && era == eraBefore {
 			continue
 		}
-		mixedBefore, eraBefore = len(mixed), era
+		before, eraBefore = len(ambiguous), era
 		if !known {
 			v, streams, err := r.readOwn(ctx)
 			if err != nil {
-				mixedBefore = 0
+				before = 0
 				continue
 			}
 			known, version = true, v
@@ -46,13 +45,13 @@
 			}
 		}
 		streams := r.streams.current(time.Now())
-		maps.DeleteFunc(streams, func(_ digest, o Origin) bool { return !mixed[o.Service] })
+		maps.DeleteFunc(streams, func(_ digest, o Origin) bool { return !ambiguous[o.Service] })
 		if time.Now().Before(keepUntil) {
 			maps.Copy(streams, earlier)
 		}
 		written, err := r.writeOwn(ctx, version, streams)
 		if err != nil {
-			known, mixedBefore = false, 0
+			known, before = false, 0
 			continue
 		}
 		version = written
--- a/internal/forward/route/table.go
+++ b/internal/forward/route/table.go
@@ -127,6 +127,7 @@
 	accounts []*Account
 	keys     map[string]*Account // by API key
 	limits   Limits
+	split    map[string]bool // see SplitServices
 }
 
 // ErrInvalid means that NewTable has rejected a configuration.
@@ -138,7 +139,7 @@
 func NewTable(c Config) (*Table, error) {
 	t := &Table{
 		version: c.Version, limits: c.Limits,
-		routes: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Account{},
+		routes: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Account{}, split: map[string]bool{},
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -153,6 +154,11 @@
 		}
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
+		for _, s := range r.Services {
+			if r.Kind == Stream && len(r.Services) > 1 {
+				t.split[s.Service] = true
+			}
+		}
 	}
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
@@ -211,6 +217,15 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
+// SplitServices returns the names of the services that share a route with streams with another
+// service. The caller must not change the map. A nil table has none.
+func (t *Table) SplitServices() map[string]bool {
+	if t == nil {
+		return nil
+	}
+	return t.split
+}
+
 // Service returns the service with the given name, or nil if the configuration has
 // none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
