front: refuse what can't end before a planned stop does, and answer what is open at its end

It can happen here: on TestPlannedStopsLoseNoRequest lost 2 of 212 requests, one of them at most once, without any answer; a request whose last byte came 3.2 s after the SIGTERM was passed on with 9 s to go. Cause: a stop waits for what is open, but takes any request, and at the end cuts connections that have no answer yet. Change: RefuseLate refuses requests whose deadline is after the end, from the end of the leave delay on; Abandon ends open attempts at the end, which gives their callers 502 or 503. Before: TestRequestThatIsCompleteLateInAPlannedStopIsRefused fails (200, the request has run). After: it passes, so do the scripts stopping and stopstream; TestPlannedStopsLoseNoRequest lost none of 221.

--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -49,6 +49,9 @@
 	// reserved for the return of shares of budgets. The wait for open requests ends before
 	// this time begins. The return of shares may take half of this time.
 	cleanupReserve = 900 * time.Millisecond
+	// answerReserve is the part of cleanupReserve in which the requests that are still open get
+	// their final answers.
+	answerReserve = 150 * time.Millisecond
 	// closeExpiredInterval is the interval between checks for connections to endpoints that
 	// have been idle for longer than their idle timeout.
 	closeExpiredInterval = 500 * time.Millisecond
@@ -281,6 +284,7 @@
 	n.Logger.WithField("open", n.Forwarder.InFlight()).Info("front: leaving")
 	pause.For(abort, leaveDelay)
 	grace := time.Duration(n.gracePeriod.Load()) - cleanupReserve
+	n.Forwarder.RefuseLate(began.Add(grace))
 	drainCtx, cancel := context.WithDeadline(abort, began.Add(grace))
 	defer cancel()
 	err := n.drain(drainCtx)
@@ -299,12 +303,20 @@
 }
 
 // drain stops accepting callers' connections and waits until all requests have ended. If
-// ctx ends while connections are open, it returns an error.
+// ctx ends first, it gives the open requests up: those whose response has not begun are answered.
+// It returns an error if connections are still open then.
 func (n *Node) drain(ctx context.Context) error {
 	if err := n.callers.CloseListener(n.callerListener); err != nil {
 		return errors.Wrap(err, "front: close the listener for callers")
 	}
 	if err := n.callers.Drain(ctx); err != nil {
+		n.Forwarder.Abandon()
+		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerReserve)
+		defer cancel()
+		if n.callers.Drain(answerCtx) == nil {
+			n.Logger.Warn("front: gave up the requests that were still open when the time for draining ended")
+			return nil
+		}
 		return err
 	}
 	n.Forwarder.Wait()
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -168,6 +168,8 @@
 		return errCallerGone
 	case errors.Is(err, errFailed):
 		return err
+	case x.abandoned().Err() != nil:
+		return x.stopError()
 	case x.mayHaveRun:
 		return refuse(Timeout, "no whole answer came in time")
 	default:
@@ -190,7 +192,7 @@
 	switch {
 	case err == nil:
 		return picker.Succeeded
-	case errors.Is(err, errCallerGone), x.r.Context().Err() != nil:
+	case errors.Is(err, errCallerGone), x.r.Context().Err() != nil, x.abandoned().Err() != nil:
 		return picker.Canceled
 	case x.received.retryAfter > 0:
 		return picker.Busy
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -107,6 +107,8 @@
 //	retries N        sets the number of retries allowed in 10 s
 //	budget ACCOUNT   prints the used and reserved tokens of the account's budget
 //	blocked PARTS    prints the part that is blocked of a prompt, two seconds from now
+//	stop TIME        refuses requests whose deadline is later than that from now on
+//	abandon TIME     gives up the requests in progress that long from now
 //	pause TIME       waits
 //	sends            prints the log lines of the attempts at endpoints since the last
 //	                 sends command
@@ -144,12 +146,19 @@
 			}
 			trait, _ := f.server.Poison.Check(poison.PartTraits(parts), time.Now().Add(2*time.Second))
 			return fmt.Sprintf("%q\n", trait.Name())
-		case "pause":
-			pause, err := time.ParseDuration(d.CmdArgs[0].Key)
+		case "pause", "stop", "abandon":
+			after, err := time.ParseDuration(d.CmdArgs[0].Key)
 			if err != nil {
-				d.Fatalf(t, "pause: %v", err)
+				d.Fatalf(t, "%s: %v", d.Cmd, err)
+			}
+			switch d.Cmd {
+			case "pause":
+				time.Sleep(after)
+			case "stop":
+				f.server.RefuseLate(time.Now().Add(after))
+			case "abandon":
+				time.AfterFunc(after, f.server.Abandon)
 			}
-			time.Sleep(pause)
 			return ""
 		case "sends":
 			return f.takeSends()
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -68,6 +68,7 @@
 	inFlight   atomic.Int64
 	goneChecks atomic.Int64   // checks of ifGone in progress
 	requests   sync.WaitGroup // requests and checks in progress
+	stopping   stopping
 }
 
 // InFlight returns the number of requests that have arrived and have not ended.
@@ -151,9 +152,11 @@
 	// The configuration may have changed while the body was read.
 	if t := x.Table(); t != x.table {
 		x.table = t
-		return x.match()
+		if err := x.match(); err != nil {
+			return err
+		}
 	}
-	return nil
+	return x.checkStop()
 }
 
 // match finds the route, the account and the service of the request in the
@@ -220,6 +223,7 @@
 func (x *exchange) serve() error {
 	ctx, cancel := context.WithDeadline(x.context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.abandoned(), cancel)()
 	if err := x.findOrigin(ctx); err != nil {
 		return err
 	}
