front: after it has stood still, an instance doubts all endpoints until the platform has answered anew

Cause: an endpoint that was replaced under its ID and address answers as the old one. The instance hears of it some milliseconds to 2 s after it wakes up, and no failed connection tells it. Ruled out: versions that join under new IDs (no stream mixed). Streams wait for that, 300 ms at most. A refusal for doubt names the time to come back.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -9,7 +9,6 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
-	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -76,6 +75,10 @@
 	changed     chan struct{}             // closed and replaced after each change
 	unavailable bool                      // the last call to the platform failed, other than with object.ErrExpired
 	heardAt     time.Time                 // when the platform last responded, zero before the first response
+	askedAt     time.Time                 // when the last call began to which the platform has responded
+	endCall     context.CancelFunc        // ends the call to the platform in progress, nil if there is none
+	renew       bool                      // Renew was called since the last response
+	wake        chan struct{}             // holds a token after Renew, to end a pause between calls
 }
 
 // New returns a feed without objects for the given kind. The caller must set Apply.
@@ -83,6 +86,7 @@
 	return &Feed{
 		kind: kind, platform: platform, logger: logger, WatchTimeout: defaultWatchTimeout,
 		objects: map[string]object.Object{}, missing: map[string]time.Time{}, restored: map[string]restoredObject{}, changed: make(chan struct{}),
+		wake: make(chan struct{}, 1),
 	}
 }
 
@@ -105,6 +109,14 @@
 	return now.Sub(f.heardAt)
 }
 
+// AskedAt returns when the last call began to which the platform has responded. What the feed knows
+// is not older.
+func (f *Feed) AskedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.askedAt
+}
+
 // Changed returns a channel that is closed after the feed has applied the next change of
 // any object.
 func (f *Feed) Changed() <-chan struct{} {
@@ -123,15 +135,18 @@
 	wait, delay := time.Duration(0), minBatchDelay
 	for ctx.Err() == nil {
 		if rest := f.restTime(time.Now()); rest > 0 {
-			pause.For(ctx, rest)
+			f.pause(ctx, rest)
 			wait = 0
 			continue
 		}
 		changed, err := f.fetch(ctx, wait)
 		switch {
+		case errors.Is(err, errRenewed):
+			wait = 0
+			continue
 		case err == nil:
 			b.Reset()
-			pause.For(ctx, min(delay, f.nextTimeout(time.Now())))
+			f.pause(ctx, min(delay, f.nextTimeout(time.Now())))
 			wait = f.watchTime(delay, time.Now())
 			delay = min(2*delay, maxBatchDelay)
 			if !changed {
@@ -144,10 +159,45 @@
 			continue
 		}
 		wait = 0
-		pause.For(ctx, b.NextBackOff())
+		f.pause(ctx, b.NextBackOff())
+	}
+}
+
+// pause waits for the time d between two calls to the platform, or until Renew is called.
+func (f *Feed) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.wake:
+	case <-time.After(d):
+	}
+}
+
+// errRenewed means that Renew has ended a call to the platform.
+var errRenewed = errors.New("feed: the call to the platform is made anew")
+
+// Renew ends the call to the platform in progress, and makes the feed call again at once, whatever
+// its role.
+func (f *Feed) Renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renew = true
+	if f.endCall != nil {
+		f.endCall()
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default: // there is a token already
 	}
 }
 
+// setCall sets how the call in progress is ended.
+func (f *Feed) setCall(end context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endCall = end
+}
+
 // nextTimeout returns how long the next watch may wait for an update. That is WatchTimeout,
 // or less if before that an object that is missing from the platform's list will count as
 // deleted, or one that was put aside will be applied.
@@ -178,16 +228,24 @@
 // objects.
 func (f *Feed) fetch(ctx context.Context, wait time.Duration) (bool, error) {
 	f.mu.Lock()
-	after, unavailable := f.watched, f.unavailable
+	after, unavailable, renew := f.watched, f.unavailable, f.renew
 	f.mu.Unlock()
-	if after == 0 {
+	if after == 0 || renew {
 		wait = 0
 	}
 	call := f.call
 	if unavailable {
 		call = f.probe
 	}
-	page, err := call(ctx, after, wait)
+	began := time.Now()
+	callCtx, end := context.WithCancel(ctx)
+	defer end()
+	f.setCall(end)
+	page, err := call(callCtx, after, wait)
+	f.setCall(nil)
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		return false, errRenewed
+	}
 	f.logState(err, ctx.Err() != nil)
 	if err != nil {
 		return false, err
@@ -207,8 +265,8 @@
 	if list {
 		f.listedTo = page.Version()
 	}
-	f.listed = true
-	f.heardAt = now
+	f.listed, f.renew = true, false
+	f.heardAt, f.askedAt = now, began
 	return len(page.Objects()) > 0, nil
 }
 
--- a/internal/fleet/feed/follow.go
+++ b/internal/fleet/feed/follow.go
@@ -56,7 +56,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || f.watched == 0 || len(f.missing) > 0 || len(f.restored) > 0 {
+	if !f.listed || f.watched == 0 || f.renew || len(f.missing) > 0 || len(f.restored) > 0 {
 		return 0
 	}
 	return min(max(f.confirmTimeout()-now.Sub(f.heardAt), 0), checkInterval)
--- a/internal/fleet/front/feeds.go
+++ b/internal/fleet/front/feeds.go
@@ -15,6 +15,7 @@
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/route"
 	"jacinthladder.dev/internal/forward/signal"
+	"jacinthladder.dev/internal/forward/stall"
 	"jacinthladder.dev/internal/plat/object"
 	"jacinthladder.dev/platform"
 )
@@ -24,6 +25,10 @@
 // platform are registered again within two seconds after it.
 const deleteGrace = 2 * time.Second
 
+// stallSettle is the time after a stall of the process until which what peers confirm counts as older than
+// the stall, since it may have waited to be read.
+const stallSettle = 250 * time.Millisecond
+
 // Routes holds the routing table in force. Each later version of the configuration
 // replaces the table.
 type Routes struct {
@@ -43,6 +48,19 @@
 type Feeds struct {
 	routes, endpoints *feed.Feed
 	spread, applied   signal.Signal
+	stalls            stall.Detector
+}
+
+// outOfStep reports whether the process has stood still since the platform last confirmed what it
+// knows of endpoints.
+func (f *Feeds) outOfStep() bool {
+	now := time.Now()
+	endedAt := f.stalls.EndedAt(now)
+	if endedAt.IsZero() || f.endpoints.AskedAt().After(endedAt) {
+		return false
+	}
+	heardAt := now.Add(-f.endpoints.Age(now))
+	return !heardAt.After(endedAt.Add(stallSettle))
 }
 
 // NewFeeds returns feeds that apply each change of the configuration to r and p, and each
@@ -61,6 +79,11 @@
 		f.passOn(source, roles)
 	}
 	f.endpoints.DeleteGrace = deleteGrace
+	f.stalls.Ended = func() {
+		logger.Warn("feed: this process has stood still, asking for the endpoints anew")
+		f.routes.Renew()
+		f.endpoints.Renew()
+	}
 	taken := fleetAddresses(s)
 	f.endpoints.Apply = func(source string, o object.Object) {
 		applyEndpoint(source, o, p, taken, logger)
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -118,7 +118,7 @@
 	defer stopLoops()
 	var work sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.Feeds.routes.Run, n.Feeds.endpoints.Run, n.Shards.Run, n.Holder.Run, n.Gossiper.Run, n.Origins.Run, n.syncPayments, n.closeExpired,
+		n.Feeds.routes.Run, n.Feeds.endpoints.Run, n.Feeds.stalls.Run, n.Shards.Run, n.Holder.Run, n.Gossiper.Run, n.Origins.Run, n.syncPayments, n.closeExpired,
 	} {
 		work.Go(func() { loop(loopCtx) })
 	}
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -158,7 +158,7 @@
 func NewForwarder(routes *Routes, f *Feeds, p *picker.Picker, crashes *poison.Tracker, granter *permit.Granter, origins *origin.Register, pool *conns.Pool, reserver *prepay.Reserver, limits *RetryLimits, set *metrics.Set, logger log.Interface) *serve.Server {
 	return &serve.Server{
 		Table: routes.Table, Picker: p, Poison: crashes, Permit: granter.Acquire, Origins: origins, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
-		RegistryAge: func() time.Duration { return f.endpoints.Age(time.Now()) },
-		Metrics:     serve.NewMetrics(set), Logger: logger,
+		RegistryAge: func() time.Duration { return f.endpoints.Age(time.Now()) }, OutOfStep: f.outOfStep,
+		Metrics: serve.NewMetrics(set), Logger: logger,
 	}
 }
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -254,6 +254,13 @@
 	Begins func(version string) bool
 	// RegistryAt is when the platform last confirmed what this instance knows of endpoints.
 	RegistryAt time.Time
+	// OutOfStep reports that the process has stood still since then, so that all endpoints are in doubt.
+	OutOfStep bool
+}
+
+// doubts reports whether another endpoint may have taken the place of one.
+func (info *PickInfo) doubts(s *endpointState) bool {
+	return info.OutOfStep || s.doubt.holds(info.RegistryAt)
 }
 
 // fits reports whether a request may be sent to an endpoint of its service at all. A stream does not
@@ -263,7 +270,7 @@
 		return false
 	}
 	if info.Version != "" {
-		return info.Version == s.Version && !s.doubt.holds(info.RegistryAt)
+		return info.Version == s.Version && !info.doubts(s)
 	}
 	return info.Begins == nil || info.Begins(s.Version)
 }
@@ -287,7 +294,7 @@
 		candidates = append(candidates, place.Candidate{
 			Slots: p.slotsOf(s, now), Running: s.running, QueuedTokens: s.queuedTokens, CachedTokens: s.cache.cachedTokens(info.Request.Parts),
 			Preferred: s == preferred,
-			FailRatio: s.currentFailRatio(now), CrossZone: s.Zone != p.zone, WarmingUp: now.Before(s.warmUntil), Ejected: now.Before(s.ejectedUntil) || info.Begins != nil && s.doubt.holds(info.RegistryAt),
+			FailRatio: s.currentFailRatio(now), CrossZone: s.Zone != p.zone, WarmingUp: now.Before(s.warmUntil), Ejected: now.Before(s.ejectedUntil) || info.Begins != nil && info.doubts(s),
 			Busy: now.Before(s.closedUntil()),
 		})
 	}
@@ -300,7 +307,7 @@
 	}
 	s := available[i]
 	pk := &Pick{picker: p, state: s, prompt: info.Request.Parts, cachedTokens: candidates[i].CachedTokens, registryAt: info.RegistryAt}
-	pk.doubtful = s.doubt.holds(info.RegistryAt)
+	pk.doubtful = info.doubts(s)
 	pk.queuedTokens = max(info.Request.PromptTokens-pk.cachedTokens, 0)
 	s.running++
 	s.queuedTokens += pk.queuedTokens
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -108,6 +108,7 @@
 	if x.RegistryAge != nil {
 		info.RegistryAt = time.Now().Add(-x.RegistryAge())
 	}
+	info.OutOfStep = x.OutOfStep != nil && x.OutOfStep()
 	return info
 }
 
@@ -143,7 +144,7 @@
 	case x.mayHaveRun:
 		return refuse(NoResponse, "the request left and no whole answer came")
 	case x.version != "" && !x.Picker.Fits(x.pickInfo(nil)):
-		return refuse(VersionGone, "no endpoint is left of the software version that began the stream")
+		return x.versionGone()
 	case x.Picker.Available(x.service.Name) == 0:
 		return refuse(NoCapacity, "no endpoint of the service is known").withRetryAfter(x.retryAfter())
 	}
@@ -157,6 +158,15 @@
 	return refuse(NoCapacity, "no endpoint took the request").withRetryAfter(x.retryAfter())
 }
 
+// versionGone returns the refusal of a stream that fits no endpoint. If those of its version are only in
+// doubt, it may go on later.
+func (x *exchange) versionGone() *Refusal {
+	if slices.Contains(x.Picker.Versions(x.service.Name), x.version) {
+		return refuse(VersionGone, "it is not certain which endpoints are of the software version that began the stream").withRetryAfter(x.retryAfter())
+	}
+	return refuse(VersionGone, "no endpoint is left of the software version that began the stream")
+}
+
 // finalError returns the final error of the request after its last attempt, which
 // ended with err. It is called if the attempt received a complete response, the
 // caller has disconnected or the deadline has passed.
--- a/internal/forward/serve/origin.go
+++ b/internal/forward/serve/origin.go
@@ -8,11 +8,30 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/forward/origin"
 	"jacinthladder.dev/internal/forward/picker"
 	"jacinthladder.dev/internal/forward/route"
 )
 
+const (
+	// maxStepWait bounds the time that a stream waits until this process is in step again, and
+	// stepInterval is the time between two looks.
+	maxStepWait  = 300 * time.Millisecond
+	stepInterval = 10 * time.Millisecond
+)
+
+// awaitStep waits while this process is out of step. A stream that it began then could not go on
+// elsewhere.
+func (x *exchange) awaitStep(ctx context.Context) {
+	if x.OutOfStep == nil || x.Origins == nil || x.route.Kind != route.Stream {
+		return
+	}
+	for end := time.Now().Add(maxStepWait); x.OutOfStep() && time.Now().Before(end) && ctx.Err() == nil; {
+		pause.For(ctx, stepInterval)
+	}
+}
+
 // findOrigin finds the software version that began the stream that the request resumes, and
 // returns a refusal if it is not known. The stream goes on at the service at which it began.
 func (x *exchange) findOrigin(ctx context.Context) error {
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -62,8 +62,11 @@
 	// RegistryAge, if set, returns the time since the platform's registry of endpoints last
 	// responded to this instance, for the log.
 	RegistryAge func() time.Duration
-	Metrics     *Metrics
-	Logger      log.Interface
+	// OutOfStep, if set, reports whether the process has stood still since that registry was last
+	// confirmed, so that others may have taken the place of endpoints.
+	OutOfStep func() bool
+	Metrics   *Metrics
+	Logger    log.Interface
 
 	inFlight   atomic.Int64
 	goneChecks atomic.Int64   // checks of ifGone in progress
@@ -227,6 +230,7 @@
 	ctx, cancel := context.WithDeadline(x.context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(x.abandoned(), cancel)()
+	x.awaitStep(ctx)
 	if err := x.findOrigin(ctx); err != nil {
 		return err
 	}
