serve: while the registry is out of reach, a stream goes on only where the endpoint is surely the same

Cause: the next connection to the endpoint opens at once, so that nothing is in doubt, and the version of the old entry is recorded for streams of the new one. Ruled out: connections that fail to open (they are in doubt already). Change: a connection is sure if it was opened before the registry was last confirmed, or before something came on a sure one. Without the registry, streams go on only on sure connections, and origins are recorded once they are sure.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -75,6 +75,9 @@
 	changed     chan struct{}             // closed and replaced after each change
 	unavailable bool                      // the last call to the platform failed, other than with object.ErrExpired
 	heardAt     time.Time                 // when the platform last responded, zero before the first response
+	era         int64                     // of the platform, at its last response
+	backAt      time.Time                 // when the platform was last back after an outage or a loss, zero if it never was away
+	confirmedAt time.Time                 // see ConfirmedAt
 	askedAt     time.Time                 // when the last call began to which the platform has responded
 	endCall     context.CancelFunc        // ends the call to the platform in progress, nil if there is none
 	renew       bool                      // Renew was called since the last response
@@ -109,6 +112,34 @@
 	return now.Sub(f.heardAt)
 }
 
+// confirm records that the platform has confirmed at a time what the feed knows. Just after an outage it
+// may not have been told yet what has changed meanwhile. The caller holds the lock.
+func (f *Feed) confirm(at, now time.Time) {
+	if at.After(f.confirmedAt) && f.complete(now) {
+		f.confirmedAt = at
+	}
+}
+
+// complete reports whether the platform has been back for DeleteGrace, in which others write there what
+// it has missed. The caller holds the lock.
+func (f *Feed) complete(now time.Time) bool {
+	return f.backAt.IsZero() || now.Sub(f.backAt) >= f.DeleteGrace
+}
+
+// ConfirmedAt returns the time up to which the feed knows all changes, zero before the first response.
+func (f *Feed) ConfirmedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt
+}
+
+// Live reports whether the feed hears of changes as they are made.
+func (f *Feed) Live(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.unavailable && now.Sub(f.heardAt) < f.WatchTimeout+maxBatchDelay+responseTimeout && f.complete(now)
+}
+
 // AskedAt returns when the last call began to which the platform has responded. What the feed knows
 // is not older.
 func (f *Feed) AskedAt() time.Time {
@@ -261,12 +292,19 @@
 	f.acceptRestored(page, list, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.listed {
+		f.era = object.EraOf(page.Version())
+	}
 	f.watched = max(f.watched, page.Version())
 	if list {
 		f.listedTo = page.Version()
 	}
 	f.listed, f.renew = true, false
 	f.heardAt, f.askedAt = now, began
+	if era := object.EraOf(page.Version()); era != f.era {
+		f.era, f.backAt = era, now
+	}
+	f.confirm(now, now)
 	return len(page.Objects()) > 0, nil
 }
 
@@ -324,6 +362,9 @@
 	f.mu.Lock()
 	wasUnavailable := f.unavailable
 	f.unavailable = err != nil
+	if err == nil && wasUnavailable {
+		f.backAt = time.Now()
+	}
 	version := f.watched
 	f.mu.Unlock()
 	switch {
--- a/internal/fleet/feed/follow.go
+++ b/internal/fleet/feed/follow.go
@@ -99,5 +99,6 @@
 	f.watched = max(f.watched, peer.To)
 	if heardAt := now.Add(-max(peer.Age, 0)); heardAt.After(f.heardAt) {
 		f.heardAt = heardAt
+		f.confirm(heardAt, now)
 	}
 }
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -159,6 +159,7 @@
 	return &serve.Server{
 		Table: routes.Table, Picker: p, Poison: crashes, Permit: granter.Acquire, Origins: origins, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
 		RegistryAge: func() time.Duration { return f.endpoints.Age(time.Now()) }, OutOfStep: f.outOfStep,
+		ConfirmedAt: f.endpoints.ConfirmedAt, RegistryLive: func() bool { return f.endpoints.Live(time.Now()) },
 		Metrics: serve.NewMetrics(set), Logger: logger,
 	}
 }
--- a/internal/forward/picker/doubt.go
+++ b/internal/forward/picker/doubt.go
@@ -31,12 +31,17 @@
 	pk.state.doubt = doubt{since: now}
 }
 
-// Responded records that a response has come on a connection that was opened at the time
-// openedAt. The endpoint behind it has not ended since then.
-func (pk *Pick) Responded(openedAt time.Time) {
+// Heard records that something came from the endpoint on a connection that was opened at the time
+// openedAt. The endpoint behind the connection has not ended since then.
+func (pk *Pick) Heard(openedAt, now time.Time) {
 	pk.picker.mu.Lock()
 	defer pk.picker.mu.Unlock()
-	d := &pk.state.doubt
+	s := pk.state
+	s.heardAt = now
+	if s.same(openedAt, pk.registryAt) {
+		s.sameUntil = now
+	}
+	d := &s.doubt
 	switch {
 	case d.since.IsZero():
 	case openedAt.Before(d.since):
@@ -45,3 +50,17 @@
 		d.reopenedAt = openedAt
 	}
 }
+
+// Same reports whether the endpoint behind a connection that was opened at the time openedAt is surely
+// the one that this instance knows, given when the registry was last confirmed. An endpoint that starts
+// again under its ID, while the registry is out of reach, is not heard of.
+func (pk *Pick) Same(openedAt, registryAt time.Time) bool {
+	pk.picker.mu.Lock()
+	defer pk.picker.mu.Unlock()
+	return pk.state.same(openedAt, registryAt)
+}
+
+// same is Same for a caller that holds the lock of the picker.
+func (s *endpointState) same(openedAt, registryAt time.Time) bool {
+	return !openedAt.After(registryAt) || !openedAt.After(s.sameUntil)
+}
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -41,6 +41,7 @@
 	ejectedUntil   time.Time    // end of the ejection
 	heardAt        time.Time    // when something last came from the endpoint
 	doubt          doubt        // whether another endpoint has taken its place unnoticed
+	sameUntil      time.Time    // when it was last heard on a connection that led to it before
 	busyUntil      time.Time    // until when the endpoint wants no requests
 	brittle        brittleness  // whether rejections make the endpoint fall over
 	limit          statedLimit  // rate that the endpoint takes from all instances
--- a/internal/forward/picker/results.go
+++ b/internal/forward/picker/results.go
@@ -108,13 +108,6 @@
 	s.ejectedUntil = now.Add(d/2 + rand.N(d))
 }
 
-// Heard records that something came from the endpoint.
-func (pk *Pick) Heard(now time.Time) {
-	pk.picker.mu.Lock()
-	defer pk.picker.mu.Unlock()
-	pk.state.heardAt = now
-}
-
 // currentFailRatio returns the failure ratio of the endpoint at the time now, from 0
 // to 1. The ratio halves with each failHalfLife since the last result.
 func (s *endpointState) currentFailRatio(now time.Time) float64 {
--- a/internal/forward/picker/silence_test.go
+++ b/internal/forward/picker/silence_test.go
@@ -26,7 +26,7 @@
 	info := PickInfo{Service: "s", Request: &meta.Request{}}
 	p.Update(Endpoint{ID: "e", Service: "s", Address: "e", Slots: 64}, now)
 	pk := p.Pick(info, now)
-	pk.Heard(now)
+	pk.Heard(now, now)
 	pk.End(Succeeded, now)
 	state := p.endpoints["e"]
 	now = stallAll(p, info, now)
@@ -50,7 +50,7 @@
 	p.Update(Endpoint{ID: "e", Service: "s", Address: "e", Slots: 64}, now)
 	stalled, other := p.Pick(info, now), p.Pick(info, now)
 	now = now.Add(500 * time.Millisecond)
-	other.Heard(now.Add(-time.Millisecond))
+	other.Heard(now, now.Add(-time.Millisecond))
 	stalled.End(Stalled, now)
 	if p.endpoints["e"].currentFailRatio(now) == 0 {
 		t.Error("the endpoint answers others and not this request, and does not count as failing")
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -40,6 +40,9 @@
 	// errNotConnected means that no connection to the endpoint could be opened, so
 	// nothing was sent to it.
 	errNotConnected = errors.New("serve: not connected")
+	// errNotSure means that a stream does not go on at an endpoint, because another one may have taken its
+	// place.
+	errNotSure = errors.New("serve: not sure which endpoint it is")
 	// errNotRun means that the endpoint reported that it did not run the request.
 	errNotRun = errors.New("serve: endpoint did not run the request")
 	// errFailed means that the endpoint responded with a failure, which is relayed
@@ -72,7 +75,7 @@
 		pk.End(x.pickResult(ctx, err), time.Now())
 		x.logAttempt(pk, err)
 		x.noteCrash(ctx, pk, err)
-		if ctx.Err() == nil && errors.Is(err, errNotConnected) && !errors.Is(err, conns.ErrNoPath) {
+		if ctx.Err() == nil && errors.Is(err, errNotConnected) && !errors.IsAny(err, conns.ErrNoPath, errNotSure) {
 			pk.Broken(time.Now())
 		}
 		if err == nil || errors.Is(err, errCallerGone) || ctx.Err() != nil {
@@ -90,7 +93,7 @@
 // pick picks an endpoint that is not among those tried. It returns nil if there is none
 // with a free slot or if ctx is done.
 func (x *exchange) pick(ctx context.Context, tried []string) *picker.Pick {
-	if ctx.Err() != nil || x.originUnknown {
+	if ctx.Err() != nil || x.originUnknown.Load() {
 		return nil
 	}
 	return x.Picker.Pick(x.pickInfo(tried), time.Now())
@@ -105,8 +108,8 @@
 	if x.Origins != nil && x.route.Kind == route.Stream {
 		info.Begins = func(version string) bool { return x.Origins.Listed(info.Service, version) }
 	}
-	if x.RegistryAge != nil {
-		info.RegistryAt = time.Now().Add(-x.RegistryAge())
+	if x.ConfirmedAt != nil {
+		info.RegistryAt = x.ConfirmedAt()
 	}
 	info.OutOfStep = x.OutOfStep != nil && x.OutOfStep()
 	return info
@@ -202,7 +205,7 @@
 	switch {
 	case err == nil:
 		return picker.Succeeded
-	case errors.Is(err, errCallerGone), x.r.Context().Err() != nil, x.abandoned().Err() != nil:
+	case errors.Is(err, errCallerGone), x.r.Context().Err() != nil, x.abandoned().Err() != nil, errors.Is(err, errNotSure):
 		return picker.Canceled
 	case x.received.retryAfter > 0:
 		return picker.Busy
@@ -270,7 +273,11 @@
 		return errors.CombineErrors(errNotConnected, err)
 	}
 	x.Metrics.connected(conn.Reused())
-	x.relayed = conn.Relayed()
+	x.relayed, x.openedAt = conn.Relayed(), conn.OpenedAt()
+	if x.version != "" && !x.sameEndpoint(pk) {
+		x.Pool.Put(conn)
+		return errors.CombineErrors(errNotConnected, errNotSure)
+	}
 	stop := context.AfterFunc(ctx, conn.Close)
 	keep := false
 	defer func() {
@@ -330,8 +337,7 @@
 	conn.SetIdleTimeout(header.IdleTimeout)
 	x.received = newReceipt(resp, header)
 	x.noteState(pk)
-	pk.Heard(time.Now())
-	pk.Responded(conn.OpenedAt())
+	pk.Heard(x.openedAt, time.Now())
 	x.Pool.Heard(conn)
 	x.Poison.Alive(incarnation(pk), time.Now())
 	if header.NotRun {
--- a/internal/forward/serve/origin.go
+++ b/internal/forward/serve/origin.go
@@ -63,19 +63,41 @@
 	return nil
 }
 
+// sameEndpoint reports whether the endpoint of pk is surely behind the connection of the present attempt.
+// While the registry is followed, an endpoint that takes its place is heard of.
+func (x *exchange) sameEndpoint(pk *picker.Pick) bool {
+	return x.RegistryLive == nil || x.RegistryLive() || pk.Same(x.openedAt, x.ConfirmedAt())
+}
+
 // noteOrigin records at the first event of the response which version sends it. A stream that is
 // resumed keeps its origin. If the version is in doubt, the origin is recorded as unknown, and the
 // stream does not go on elsewhere.
 func (x *exchange) noteOrigin(pk *picker.Pick) {
 	if x.version == "" {
 		x.version = pk.Endpoint().Version
-		x.originUnknown = pk.Doubtful()
+		x.unconfirmed = !pk.Doubtful() && !x.sameEndpoint(pk)
+		x.originUnknown.Store(pk.Doubtful() || x.unconfirmed)
+	}
+	x.recordOrigin()
+}
+
+// confirmOrigin records the version that began the stream, if only now it is sure which endpoint has.
+func (x *exchange) confirmOrigin(pk *picker.Pick) {
+	if !x.unconfirmed || !x.sameEndpoint(pk) {
+		return
 	}
+	x.unconfirmed = false
+	x.originUnknown.Store(false)
+	x.recordOrigin()
+}
+
+// recordOrigin records the version that began the stream, or that it is unknown.
+func (x *exchange) recordOrigin() {
 	if x.Origins == nil {
 		return
 	}
 	o := origin.Origin{Service: x.service.Name, Version: x.version}
-	if x.originUnknown {
+	if x.originUnknown.Load() {
 		o.Version = ""
 	}
 	id := x.request.ID
--- a/internal/forward/serve/relay.go
+++ b/internal/forward/serve/relay.go
@@ -142,8 +142,9 @@
 				r.x.noteOrigin(pk)
 				r.x.noteFirstEvent()
 			}
+			r.x.confirmOrigin(pk)
 			r.events++
-			pk.Heard(time.Now())
+			pk.Heard(r.x.openedAt, time.Now())
 			if id != "" {
 				r.lastEventID = id
 			}
@@ -234,7 +235,7 @@
 		// The connection is closed only if another endpoint may be tried. Without a
 		// retry left, a late response is better than none.
 		if t.begun.Load() {
-			if x.originUnknown {
+			if x.originUnknown.Load() {
 				return
 			}
 			info.Version = x.version
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -62,6 +62,10 @@
 	// RegistryAge, if set, returns the time since the platform's registry of endpoints last
 	// responded to this instance, for the log.
 	RegistryAge func() time.Duration
+	// ConfirmedAt returns when that registry last confirmed what this instance knows of endpoints, and
+	// RegistryLive reports whether it hears of each change. If RegistryLive is nil, it does.
+	ConfirmedAt  func() time.Time
+	RegistryLive func() bool
 	// OutOfStep, if set, reports whether the process has stood still since that registry was last
 	// confirmed, so that others may have taken the place of endpoints.
 	OutOfStep func() bool
@@ -100,19 +104,21 @@
 	billedTokens int64     // tokens spent by the request, set when the reservation is settled
 	deadline     time.Time // time by which the response must be complete
 
-	attempts      int       // number of endpoints to which the request, or a part of it, may have been sent
-	tried         []string  // IDs of the endpoints that were tried and are not picked again
-	addresses     []string  // addresses of these endpoints, and of the present one
-	mayHaveRun    bool      // the request may have run at an endpoint
-	relay         *relay    // writes the response to the caller
-	lastErr       error     // error of the last failed attempt
-	sentAt        time.Time // when the current attempt was sent, zero before
-	version       string    // software version of the endpoint that began the stream, empty before the first event
-	relayed       bool      // the current attempt goes by way of a peer
-	originUnknown bool      // the stream has begun at an endpoint whose version is in doubt
-	sentFrom      string    // ID of the event after which the current attempt resumes the stream, empty if it begins one
-	received      receipt   // describes the response of the current attempt
-	space         space     // for what is kept of incomplete responses
+	attempts      int         // number of endpoints to which the request, or a part of it, may have been sent
+	tried         []string    // IDs of the endpoints that were tried and are not picked again
+	addresses     []string    // addresses of these endpoints, and of the present one
+	mayHaveRun    bool        // the request may have run at an endpoint
+	relay         *relay      // writes the response to the caller
+	lastErr       error       // error of the last failed attempt
+	sentAt        time.Time   // when the current attempt was sent, zero before
+	version       string      // software version of the endpoint that began the stream, empty before the first event
+	relayed       bool        // the current attempt goes by way of a peer
+	openedAt      time.Time   // when the connection of the current attempt was opened
+	unconfirmed   bool        // the stream has begun, and it is not sure yet at which endpoint
+	originUnknown atomic.Bool // the stream has begun at an endpoint whose version is in doubt
+	sentFrom      string      // ID of the event after which the current attempt resumes the stream, empty if it begins one
+	received      receipt     // describes the response of the current attempt
+	space         space       // for what is kept of incomplete responses
 }
 
 // ServeHTTP forwards one request to an endpoint and relays the response, or sends a
