fleet/ledger: the number of objects with ledgers is agreed once, in the store

Cause: the object of a ledger follows from the number of objects, which followed from the setting. Ruled out: losses of the store (there is none in the case). Change: the first instance writes the number to the store, all others read it; without one it is derived from where the ledgers are, so that those of the build before are found.

--- a/internal/fleet/ledger/recovery.go
+++ b/internal/fleet/ledger/recovery.go
@@ -192,8 +192,16 @@
 // back from an older copy of its content, until ctx ends.
 func (s *Shards) Run(ctx context.Context) {
 	pause.Every(ctx, recoveryInterval, func(time.Time) {
+		shards, err := s.agree(ctx)
+		if err != nil {
+			if s.RecoveryFailed != nil && ctx.Err() == nil {
+				s.RecoveryFailed(layoutName, err)
+			}
+			return
+		}
+		s.restoreLayout(ctx, len(shards))
 		var work sync.WaitGroup
-		for _, sh := range s.shards {
+		for _, sh := range shards {
 			if sh.recoveryDue() {
 				work.Go(func() { sh.tryRecover(ctx) })
 			}
@@ -247,11 +255,22 @@
 // Keep remembers the ledgers that a peer has written, in case that the platform loses
 // them. A record of an unknown shard is ignored.
 func (s *Shards) Keep(r Record) {
+	s.early.Lock()
+	defer s.early.Unlock()
+	if shards := s.agreed.Load(); shards != nil {
+		keepIn(*shards, r)
+		return
+	}
+	s.earlyRecords = append(s.earlyRecords, r)
+}
+
+// keepIn remembers a record in its shard.
+func keepIn(shards []*shard, r Record) {
 	ledgers := map[string]entryJSON{}
 	for _, l := range r.Ledgers {
 		ledgers[l.Budget] = entryJSON{Version: l.Version, Ledger: l.Data}
 	}
-	for _, sh := range s.shards {
+	for _, sh := range shards {
 		if sh.name == r.Shard {
 			sh.mu.Lock()
 			sh.recovery.keep(r.Era, ledgers)
--- a/internal/fleet/ledger/recovery_test.go
+++ b/internal/fleet/ledger/recovery_test.go
@@ -111,7 +111,7 @@
 func (f *testFleet) start(t *testing.T, i int, record bool) {
 	f.started++
 	client := f.store.client()
-	p := &testProcess{shards: NewShards(client, 1)}
+	p := &testProcess{shards: NewFixedShards(client, 1)}
 	if record {
 		p.shards.Record = func(_ context.Context, r Record) {
 			if other := f.processes[(i+1)%len(f.processes)].Load(); other != nil {
--- a/internal/fleet/ledger/shards.go
+++ b/internal/fleet/ledger/shards.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/coord/escrow"
@@ -43,7 +42,7 @@
 	maxWriteAttempts = 10
 )
 
-// Shards stores ledgers in a fixed number of platform objects, the shards. Each shard
+// Shards stores ledgers in a number of platform objects, the shards, on which all instances agree. Each shard
 // holds the ledgers of many budgets, so that one call to the platform reads or writes
 // many ledgers. Concurrent reads of a shard share a call, and so do concurrent writes.
 // Each ledger has a version of its own, so that a write conflicts only with another
@@ -65,17 +64,28 @@
 	Recovered      func(shard string, newer int, complete bool)
 	RecoveryFailed func(shard string, err error)
 
-	store  *object.Store
-	shards []*shard
+	store     *object.Store
+	preferred int        // number of shards if the platform has no layout
+	fixed     bool       // there is no layout
+	agreeing  sync.Mutex // held while the layout is read or created
+	agreed    atomic.Pointer[[]*shard]
+	layoutEra atomic.Int64 // era of the platform in which the layout was last known to be stored
+
+	early        sync.Mutex
+	earlyRecords []Record // see Keep, until the number of shards is agreed
 }
 
-// NewShards returns a store with count shards, at least one. The count determines in
-// which shard a budget's ledger is, so all instances must use the same count.
-func NewShards(store *object.Store, count int) *Shards {
-	s := &Shards{store: store, RecoveryTime: defaultRecoveryTime}
-	for i := range max(count, 1) {
-		s.shards = append(s.shards, &shard{owner: s, name: fmt.Sprintf("group-%d", i), writing: make(chan struct{}, 1)})
-	}
+// NewShards returns a store with the number of shards in the platform's layout. If there is none, the
+// store creates it, with the given number unless ledgers are spread by another one.
+func NewShards(store *object.Store, preferred int) *Shards {
+	return &Shards{store: store, RecoveryTime: defaultRecoveryTime, preferred: min(max(preferred, 1), maxShards)}
+}
+
+// NewFixedShards returns a store with count shards, at least one, whatever the platform's layout.
+func NewFixedShards(store *object.Store, count int) *Shards {
+	s := NewShards(store, count)
+	s.fixed = true
+	s.setCount(s.preferred)
 	return s
 }
 
@@ -87,17 +97,31 @@
 
 // shardFor returns the shard that holds a budget's ledger, chosen by the hash of the
 // budget's name.
-func (s *Shards) shardFor(budget string) *shard {
-	return s.shards[xxhash.Sum64String(budget)%uint64(len(s.shards))]
+func (s *Shards) shardFor(ctx context.Context, budget string) (*shard, error) {
+	shards, err := s.agree(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return shards[indexOf(budget, len(shards))], nil
 }
 
-// ShardName returns the name of the platform object that holds a budget's ledger.
-func (s *Shards) ShardName(budget string) string { return s.shardFor(budget).name }
+// ShardName returns the name of the platform object that holds a budget's ledger. Until the number of
+// shards is agreed, that is the name by the preferred number.
+func (s *Shards) ShardName(budget string) string {
+	count := s.preferred
+	if shards := s.agreed.Load(); shards != nil {
+		count = len(*shards)
+	}
+	return shardName(indexOf(budget, count))
+}
 
 // Read returns the ledger of a budget and the version of this ledger, not of its shard. It
 // fails with escrow.ErrNotFound if the budget has no ledger.
 func (s *Shards) Read(ctx context.Context, budget string) (*escrow.Ledger, int64, error) {
-	sh := s.shardFor(budget)
+	sh, err := s.shardFor(ctx, budget)
+	if err != nil {
+		return nil, 0, err
+	}
 	content, err := sh.read(ctx)
 	if err != nil {
 		return nil, 0, err
@@ -120,7 +144,7 @@
 // returned by Read. Version 0 creates the ledger if there is none. Write fails with
 // escrow.ErrConflict if the ledger has another version.
 func (s *Shards) Write(ctx context.Context, budget string, version int64, l *escrow.Ledger) error {
-	return s.shardFor(budget).write(ctx, &change{budget: budget, edit: func(stored int64, ledger *escrow.Ledger) (bool, error) {
+	return s.write(ctx, &change{budget: budget, edit: func(stored int64, ledger *escrow.Ledger) (bool, error) {
 		if stored != version {
 			return false, errors.Wrap(escrow.ErrConflict, budget)
 		}
@@ -129,12 +153,21 @@
 	}})
 }
 
+// write makes one change in the shard of its budget.
+func (s *Shards) write(ctx context.Context, c *change) error {
+	sh, err := s.shardFor(ctx, c.budget)
+	if err != nil {
+		return err
+	}
+	return sh.write(ctx, c)
+}
+
 // Update applies edit to the stored ledger of a budget and writes the result if edit
 // returns true. After a conflict with another write, it applies edit again to the new
 // content, so edit may run several times. If edit returns an error, or the budget has no
 // ledger, Update writes nothing and returns the error.
 func (s *Shards) Update(ctx context.Context, budget string, edit func(l *escrow.Ledger) (bool, error)) error {
-	return s.shardFor(budget).write(ctx, &change{budget: budget, edit: func(stored int64, l *escrow.Ledger) (bool, error) {
+	return s.write(ctx, &change{budget: budget, edit: func(stored int64, l *escrow.Ledger) (bool, error) {
 		if stored == 0 {
 			return false, errors.Wrap(escrow.ErrNotFound, budget)
 		}
@@ -146,7 +179,7 @@
 // has no ledger, EnsurePaid creates it, with the budget's name as the name of its client
 // account.
 func (s *Shards) EnsurePaid(ctx context.Context, budget string, total int64) error {
-	return s.shardFor(budget).write(ctx, &change{budget: budget, edit: func(stored int64, l *escrow.Ledger) (bool, error) {
+	return s.write(ctx, &change{budget: budget, edit: func(stored int64, l *escrow.Ledger) (bool, error) {
 		if stored == 0 {
 			*l = *escrow.NewLedger(budget)
 		}
--- a/internal/fleet/ledger/shards_test.go
+++ b/internal/fleet/ledger/shards_test.go
@@ -63,7 +63,7 @@
 func TestShardsBatchCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
-		shards := NewShards(s.store(), 1)
+		shards := NewFixedShards(s.store(), 1)
 		const budgets = 24
 		var work sync.WaitGroup
 		for i := range budgets {
@@ -91,7 +91,7 @@
 func TestShardsConflictByBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
-		local, remote := NewShards(s.store(), 1), NewShards(s.store(), 1)
+		local, remote := NewFixedShards(s.store(), 1), NewFixedShards(s.store(), 1)
 		for _, b := range []string{"x", "y"} {
 			if err := local.EnsurePaid(t.Context(), b, 100); err != nil {
 				t.Fatal(err)
@@ -119,7 +119,7 @@
 func TestShardsReportUnknownOutcome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
-		shards := NewShards(s.store(), 1)
+		shards := NewFixedShards(s.store(), 1)
 		if err := shards.EnsurePaid(t.Context(), "x", 100); err != nil {
 			t.Fatal(err)
 		}
@@ -140,7 +140,7 @@
 func TestEditsSeeOnlyStoredState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
-		shards := NewShards(s.store(), 1)
+		shards := NewFixedShards(s.store(), 1)
 		if err := shards.EnsurePaid(t.Context(), "x", 100); err != nil {
 			t.Fatal(err)
 		}
@@ -189,7 +189,7 @@
 func TestNoopUpdatesShareReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
-		shards := NewShards(s.store(), 1)
+		shards := NewFixedShards(s.store(), 1)
 		const budgets = 24
 		for i := range budgets {
 			if err := shards.EnsurePaid(t.Context(), fmt.Sprint("b", i), 100); err != nil {
@@ -215,7 +215,7 @@
 func TestUpdateSeesNewBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{}
-		local, remote := NewShards(s.store(), 1), NewShards(s.store(), 1)
+		local, remote := NewFixedShards(s.store(), 1), NewFixedShards(s.store(), 1)
 		if err := local.EnsurePaid(t.Context(), "x", 100); err != nil {
 			t.Fatal(err)
 		}
