fleet/ledger: after a loss of the store an absent object is not a new one

Cause: an absent object counted as complete for a process that had never seen it; and an instance that found its object absent forgot what it had cached. Ruled out: the layout, which is lost with the ledgers and derived again. Change: an absent object is incomplete in a later era, and what was cached is kept as known and written back. Before: TestProcessThatStartsAfterALossBeginsNoLedgerAnew fails (the ledger begins anew).

--- a/internal/fleet/ledger/layout_test.go
+++ b/internal/fleet/ledger/layout_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/internal/plat/object"
 )
 
@@ -38,8 +39,9 @@
 				return 0, object.ErrConflict
 			}
 			k.version++
-			k.objects[kind+"/"+name] = object.New(kind, name, k.version, value)
-			return k.version, nil
+			written := object.VersionIn(k.era, k.version)
+			k.objects[kind+"/"+name] = object.New(kind, name, written, value)
+			return written, nil
 		},
 		Watch: func(_ context.Context, kind string, _ int64, _ time.Duration) (object.Page, error) {
 			k.mu.Lock()
@@ -152,3 +154,41 @@
 		}
 	}
 }
+
+// Guards against a ledger that begins anew because the platform has come back from a copy from before it
+// (the review's scene unseen): a process that starts then waits for those that remember it.
+func TestProcessThatStartsAfterALossBeginsNoLedgerAnew(t *testing.T) {
+	k := newKindStore()
+	old := NewShards(k.store(), 1)
+	old.RecoveryTime = 400 * time.Millisecond
+	if err := old.EnsurePaid(t.Context(), "b", 100); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.Update(t.Context(), "b", func(l *escrow.Ledger) (bool, error) { return l.RaisePaid(700) }); err != nil {
+		t.Fatal(err)
+	}
+	k.mu.Lock()
+	k.objects, k.era = map[string]object.Object{}, 1
+	k.mu.Unlock()
+	started := NewShards(k.store(), 1)
+	started.RecoveryTime = old.RecoveryTime
+	if err := started.EnsurePaid(t.Context(), "b", 100); !errors.Is(err, object.ErrRefused) {
+		t.Errorf("just after the loss: got error %v, want the ledger to be refused", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); old.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		err := started.EnsurePaid(t.Context(), "b", 100)
+		if err == nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("5 s after the loss: %v", err)
+		}
+	}
+	if l, _, err := started.Read(t.Context(), "b"); err != nil || l.Paid() != 700 {
+		t.Errorf("got the ledger %+v, error %v, want the one that the other process remembers", l, err)
+	}
+}
--- a/internal/fleet/ledger/recovery.go
+++ b/internal/fleet/ledger/recovery.go
@@ -54,9 +54,9 @@
 
 // note keeps the ledgers of the cached content if the content now, which replaces it, does
 // not continue it because the platform has lost changes in between. Both come with their
-// versions.
+// versions, which are 0 if there is no object.
 func (r *recovery) note(cached shardJSON, cachedVersion int64, now shardJSON, version int64) {
-	if cachedVersion == 0 || object.EraOf(version) <= object.EraOf(cachedVersion) && now.Era >= cached.Era {
+	if cachedVersion == 0 || version != 0 && object.EraOf(version) <= object.EraOf(cachedVersion) && now.Era >= cached.Era {
 		return
 	}
 	r.keep(cached.Era, cached.Ledgers)
@@ -137,13 +137,6 @@
 	return content.Era >= era
 }
 
-// knowsContent reports whether this instance has read or written the shard before.
-func (s *shard) knowsContent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.cachedVersion != 0
-}
-
 // recover completes content, which was read at the given version, after the platform came
 // back from an older copy. It writes back the ledgers of which this instance knows a
 // higher version and, once Shards.RecoveryTime has passed, notes the era. It returns the
@@ -216,8 +209,11 @@
 	era, _ := s.era()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cachedVersion == 0 || s.cached.Era >= era {
+	switch {
+	case s.cachedVersion != 0 && s.cached.Era >= era:
 		return false
+	case s.cachedVersion == 0 && (len(s.recovery.known) == 0 || s.recovery.era >= era):
+		return false // nothing is known that the platform may have lost
 	}
 	s.recovery.begin(era, s.owner.RecoveryTime)
 	return !s.recovery.wroteBack || time.Since(s.recovery.since) >= s.recovery.delay
--- a/internal/fleet/ledger/shards.go
+++ b/internal/fleet/ledger/shards.go
@@ -459,7 +459,7 @@
 		return content, version, nil
 	}
 	content, version, err := s.fetch(ctx)
-	if err == nil && version > 0 {
+	if err == nil {
 		s.setCached(content.clone(), version)
 	}
 	return content, version, err
@@ -478,7 +478,8 @@
 }
 
 // fetch reads the shard from the platform and returns its content and version. A shard
-// that does not exist yet has empty content and version 0.
+// that does not exist has empty content and version 0. In a later era than the first that is not
+// complete: the platform may have lost the shard, which another instance remembers.
 func (s *shard) fetch(ctx context.Context) (shardJSON, int64, error) {
 	content := shardJSON{}
 	o, err := s.owner.store.Get(ctx, ShardKind, s.name)
@@ -494,9 +495,6 @@
 	if content.Ledgers == nil {
 		content.Ledgers = map[string]entryJSON{}
 	}
-	if o.Version() == 0 && !s.knowsContent() {
-		content.Era, _ = s.era() // a new shard
-	}
 	return content, o.Version(), nil
 }
 
