forward/picker: ignore entries of earlier starts that come back

Cause: an entry with another start time counts as another endpoint, also if the time is earlier. Ruled out: the record of the leave, which names the later start only. Change: the latest start heard of under an ID is remembered for 30 s; entries of earlier ones are ignored meanwhile.

--- a/internal/forward/picker/leaves.go
+++ b/internal/forward/picker/leaves.go
@@ -43,4 +43,39 @@
 		}
 	}
 	p.left[i] = now
+	p.noteStart(id, startedAt, now)
+}
+
+// startTTL is how long the picker remembers the latest start under an ID after it last heard of it. In that time
+// entries of earlier starts can come back with an older copy of the registry. It is short, because the
+// clock by which endpoints state their starts may be set back.
+const startTTL = 30 * time.Second
+
+// start is the latest start that was heard of under an ID.
+type start struct {
+	startedAt int64
+	heardAt   time.Time
+}
+
+// noteStart records that an endpoint has started under an ID, if no later one has. The caller holds the
+// lock.
+func (p *Picker) noteStart(id string, startedAt int64, now time.Time) {
+	known, ok := p.starts[id]
+	if !ok {
+		for other, s := range p.starts {
+			if now.Sub(s.heardAt) > startTTL {
+				delete(p.starts, other)
+			}
+		}
+	}
+	if !ok || startedAt >= known.startedAt || now.Sub(known.heardAt) > startTTL {
+		p.starts[id] = start{startedAt, now}
+	}
+}
+
+// superseded reports whether an endpoint has ended, because a later one has started under its ID. The
+// caller holds the lock.
+func (p *Picker) superseded(e Endpoint, now time.Time) bool {
+	later, ok := p.starts[e.ID]
+	return ok && e.StartedAt > 0 && e.StartedAt < later.startedAt && now.Sub(later.heardAt) <= startTTL
 }
--- a/internal/forward/picker/picker.go
+++ b/internal/forward/picker/picker.go
@@ -67,6 +67,7 @@
 	endpoints  map[string]*endpointState   // by ID
 	available  map[string][]*endpointState // by service, the endpoints that are not leaving, sorted by ID
 	left       map[incarnation]time.Time   // when each endpoint was last known to be leaving
+	starts     map[string]start            // latest start by ID
 }
 
 // NewPicker returns a picker for an instance in the given zone. The picker knows no
@@ -74,7 +75,7 @@
 func NewPicker(zone string) *Picker {
 	return &Picker{
 		zone: zone, cacheSizes: map[string]int64{}, endpoints: map[string]*endpointState{},
-		available: map[string][]*endpointState{}, left: map[incarnation]time.Time{},
+		available: map[string][]*endpointState{}, left: map[incarnation]time.Time{}, starts: map[string]start{},
 	}
 }
 
@@ -82,10 +83,14 @@
 // the entry changed. If the address, the start time or the version differs, the picker forgets
 // the results and the cached prompt parts that it has observed at the endpoint. An
 // endpoint that was known to be leaving stays so, whatever a later entry says, until
-// its start time differs.
+// its start time differs. An entry of an earlier start than one that was heard of lately is ignored.
 func (p *Picker) Update(e Endpoint, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.superseded(e, now) {
+		return false
+	}
+	p.noteStart(e.ID, e.StartedAt, now)
 	if e.Leaving {
 		p.recordLeave(e.ID, e.StartedAt, now)
 	} else if _, ok := p.left[incarnation{e.ID, e.StartedAt}]; ok {
--- a/internal/forward/picker/picker_test.go
+++ b/internal/forward/picker/picker_test.go
@@ -26,6 +26,14 @@
 		{"a peer said so before the entry came", func(p *Picker) { p.Remove("e"); p.MarkLeaving("e", 7, now); p.Update(ready, now) }, 0},
 		{"another endpoint has the ID", func(p *Picker) { p.Update(leaving, now); p.Update(restarted, now) }, 1},
 		{"a peer speaks of the endpoint before", func(p *Picker) { p.Update(restarted, now); p.MarkLeaving("e", 7, now) }, 1},
+		{"the entry of an earlier start came back", func(p *Picker) { p.Update(restarted, now); p.MarkLeaving("e", 8, now); p.Update(ready, now) }, 0},
+		{"it came back after the removal of the later one", func(p *Picker) { p.Update(restarted, now); p.Remove("e"); p.Update(ready, now) }, 0},
+		{"a response of the later one came first", func(p *Picker) { p.Remove("e"); p.MarkLeaving("e", 8, now); p.Update(ready, now) }, 0},
+		{"the clock of the endpoint was set back", func(p *Picker) {
+			p.Update(restarted, now)
+			p.Remove("e")
+			p.Update(ready, now.Add(startTTL+time.Second))
+		}, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			p := NewPicker("ikeja")
