serve: an endpoint in doubt is not recorded as out of reach

Found on reading the diff: errors.CombineErrors hides its second error from errors.Is, so that an attempt which is not sure of its endpoint marked it as one that can't be connected to, and so did one without any path (ErrNoPath), against what the condition says. Change: the errors are marked instead. Origins on split routes are stored for resumable routes only. Test: TestStreamGoesOnWithoutTheRegistryOnlyWhereItIsSure; the package's tests pass with -race.

--- a/internal/forward/route/table.go
+++ b/internal/forward/route/table.go
@@ -155,7 +155,7 @@
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
 		for _, s := range r.Services {
-			if r.Kind == Stream && len(r.Services) > 1 {
+			if r.Kind == Stream && r.Resumable && len(r.Services) > 1 {
 				t.split[s.Service] = true
 			}
 		}
@@ -217,8 +217,8 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// SplitServices returns the names of the services that share a route with streams with another
-// service. The caller must not change the map. A nil table has none.
+// SplitServices returns the names of the services that share a route with another service, if the route
+// has streams that can be resumed. The caller must not change the map. A nil table has none.
 func (t *Table) SplitServices() map[string]bool {
 	if t == nil {
 		return nil
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -270,13 +270,13 @@
 	x.addresses = append(x.addresses, e.Address)
 	conn, err := x.Pool.Get(ctx, e.Address, fresh)
 	if err != nil {
-		return errors.CombineErrors(errNotConnected, err)
+		return errors.Mark(err, errNotConnected)
 	}
 	x.Metrics.connected(conn.Reused())
 	x.relayed, x.openedAt = conn.Relayed(), conn.OpenedAt()
 	if x.version != "" && !x.sameEndpoint(pk) {
 		x.Pool.Put(conn)
-		return errors.CombineErrors(errNotConnected, errNotSure)
+		return errors.Mark(errors.WithStack(errNotSure), errNotConnected)
 	}
 	stop := context.AfterFunc(ctx, conn.Close)
 	keep := false
--- a/internal/forward/serve/serve_test.go
+++ b/internal/forward/serve/serve_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+// While the registry is out of reach, a stream that began on a new connection does not go on elsewhere:
+// another version may have taken the place of its endpoint.
+func TestStreamGoesOnWithoutTheRegistryOnlyWhereItIsSure(t *testing.T) {
+	for _, live := range []bool{true, false} {
+		f := newFixture(t)
+		f.configure(t, "route /s/ kind=stream resumable=yes tries=2 anonymous=yes")
+		f.server.RegistryLive = func() bool { return live }
+		f.server.ConfirmedAt = func() time.Time { return time.Now().Add(-time.Minute) }
+		head := `write "HTTP/1.1 200 OK\r\nJacinthladder-Request: $ID\r\nContent-Type: text/event-stream\r\n\r\n`
+		f.startEndpoint(t, "b", "v1", head+`id: 2\ndata: y\n\n"; close`)
+		f.startEndpoint(t, "a", "v1", head+`id: 1\ndata: x\n\nid: 2"; close`)
+		got := f.sendRequest(t, "POST /s/x HTTP/1.1\nHost: h\nJacinthladder-Request: q1\n")
+		if goesOn := strings.Contains(got, "b saw"); goesOn != live {
+			t.Errorf("the registry is followed %t: the stream goes on elsewhere %t\n%s", live, goesOn, got)
+		}
+	}
+}
+
 func TestBodyWithoutEndIsCutOff(t *testing.T) {
 	runScript(t, "testdata/broken/endless")
 }
