forward/origin: origins that the store does not take are handed to peers

Cause: only that instance knew where they began. Ruled out: that peers are not asked. Change: an instance whose write failed hands the origins of its streams to peers in heartbeats (a new field); they answer for them and store them. The registry counts as followed if peers have confirmed it since the own calls began to fail; an endpoint that was replaced meanwhile is not taken for the same.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -76,6 +76,7 @@
 	unavailable bool                      // the last call to the platform failed, other than with object.ErrExpired
 	heardAt     time.Time                 // when the platform last responded, zero before the first response
 	era         int64                     // of the platform, at its last response
+	lostAt      time.Time                 // when calls to the platform last began to fail
 	backAt      time.Time                 // when the platform was last back after an outage or a loss, zero if it never was away
 	confirmedAt time.Time                 // see ConfirmedAt
 	askedAt     time.Time                 // when the last call began to which the platform has responded
@@ -133,11 +134,15 @@
 	return f.confirmedAt
 }
 
-// Live reports whether the feed hears of changes as they are made.
+// Live reports whether the feed hears of changes as they are made, from the platform or from peers that
+// the platform has answered since it last answered this feed.
 func (f *Feed) Live(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.unavailable && now.Sub(f.heardAt) < f.WatchTimeout+maxBatchDelay+responseTimeout && f.complete(now)
+	if f.unavailable && !f.heardAt.After(f.lostAt) {
+		return false
+	}
+	return now.Sub(f.heardAt) < f.WatchTimeout+maxBatchDelay+responseTimeout && f.complete(now)
 }
 
 // AskedAt returns when the last call began to which the platform has responded. What the feed knows
@@ -362,6 +367,9 @@
 	f.mu.Lock()
 	wasUnavailable := f.unavailable
 	f.unavailable = err != nil
+	if err != nil && !wasUnavailable {
+		f.lostAt = time.Now()
+	}
 	if err == nil && wasUnavailable {
 		f.backAt = time.Now()
 	}
--- a/internal/fleet/front/peers.go
+++ b/internal/fleet/front/peers.go
@@ -84,6 +84,7 @@
 			n.Limits = peers.LimitsToWire(p.Limits(time.Now()))
 			n.Traits = peers.TraitsToWire(crashes.Notes(time.Now()))
 			n.Versions = peers.VersionsToWire(origins.Listing())
+			n.Origins = peers.OriginsToWire(origins.Unstored())
 			for _, e := range p.Leaving() {
 				n.Leaving = append(n.Leaving, &peerwire.LeaveNote{Endpoint: e.ID, Started: e.StartedAt})
 			}
@@ -93,6 +94,7 @@
 			p.MergeLimits(peers.LimitsFromWire(n.GetLimits()), time.Now())
 			crashes.Merge(peers.TraitsFromWire(n.GetTraits()), time.Now())
 			origins.Merge(peers.VersionsFromWire(n.GetVersions()))
+			origins.Keep(peers.OriginsFromWire(n.GetOrigins()))
 			for _, l := range n.GetLeaving() {
 				if p.MarkLeaving(l.GetEndpoint(), l.GetStarted(), time.Now()) {
 					logger.WithFields(log.Fields{"endpoint": l.GetEndpoint(), "source": member.Name(n.GetSelf().GetProcess())}).Info("endpoint: leaving, a peer said so")
--- a/internal/fleet/peers/origins.go
+++ b/internal/fleet/peers/origins.go
@@ -81,3 +81,21 @@
 	}
 	return versions
 }
+
+// OriginsToWire encodes origins that could not be stored for a heartbeat.
+func OriginsToWire(groups []origin.Group) []*wire.OriginsNote {
+	var encoded []*wire.OriginsNote
+	for _, g := range groups {
+		encoded = append(encoded, &wire.OriginsNote{Service: g.Service, Version: g.Version, Ids: g.IDs})
+	}
+	return encoded
+}
+
+// OriginsFromWire decodes the origins in a heartbeat.
+func OriginsFromWire(encoded []*wire.OriginsNote) []origin.Group {
+	var groups []origin.Group
+	for _, n := range encoded {
+		groups = append(groups, origin.Group{Origin: origin.Origin{Service: n.GetService(), Version: n.GetVersion()}, IDs: n.GetIds()})
+	}
+	return groups
+}
--- a/internal/forward/origin/book.go
+++ b/internal/forward/origin/book.go
@@ -23,7 +23,8 @@
 
 type entry struct {
 	Origin
-	until time.Time // how long the entry is remembered
+	until  time.Time // how long the entry is remembered
+	handed bool      // a peer has handed it over
 }
 
 // add remembers an origin. A full book first forgets what is past its time, and does not
@@ -43,6 +44,13 @@
 	}
 }
 
+// addHanded remembers an origin that a peer has handed over, unless the stream is known.
+func (b *book) addHanded(id digest, e entry, now time.Time) {
+	if _, known := b.find(id); !known {
+		b.add(id, e, now)
+	}
+}
+
 // find returns the origin of a stream, if it is remembered.
 func (b *book) find(id digest) (Origin, bool) {
 	b.mu.Lock()
@@ -72,6 +80,19 @@
 	return current
 }
 
+// own returns the entries that no peer has handed over, and that are not past their time.
+func (b *book) own(now time.Time) map[digest]Origin {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := map[digest]Origin{}
+	for id, e := range b.streams {
+		if !e.handed && !now.After(e.until) {
+			own[id] = e.Origin
+		}
+	}
+	return own
+}
+
 // prune forgets the entries that are past their time. The caller holds the lock.
 func (b *book) prune(now time.Time) {
 	for id, e := range b.streams {
--- a/internal/forward/origin/register.go
+++ b/internal/forward/origin/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -41,7 +42,8 @@
 	Ask    func(ctx context.Context, id string) (o Origin, found, complete bool)
 	Logger log.Interface
 
-	streams book
+	streams  book
+	unstored atomic.Bool // the last attempt to store the origins of streams has failed
 
 	mu       sync.Mutex
 	listed   listing              // versions that are known to be listed
--- a/internal/forward/origin/register_test.go
+++ b/internal/forward/origin/register_test.go
@@ -478,3 +478,36 @@
 		t.Errorf("a stream that nobody relayed: got origin %v, error %v, want ErrUnknown", o, err)
 	}
 }
+
+// Guards against origins that die with an instance which the platform turns away (the review's scene
+// unwritten): peers know them, and store them with their own.
+func TestPeersStoreOriginsOfAnInstanceThatIsTurnedAway(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	f.setVersions(t, a, "v1", "v2")
+	f.setVersions(t, b, "v1", "v2")
+	a.Store.Put = func(context.Context, string, string, int64, []byte) (int64, error) { return 0, object.ErrRefused }
+	if len(a.Unstored()) > 0 {
+		t.Error("origins are handed to peers by an instance that can store them")
+	}
+	a.Began("q1", Origin{"s", "v1"}, time.Now().Add(time.Minute))
+	a.Began("q2", Origin{"s", "v2"}, time.Now().Add(time.Minute))
+	f.waitFor(t, "the origins count as not stored", func() bool { return len(a.Unstored()) == 2 })
+	b.Keep(a.Unstored())
+	if len(b.Unstored()) > 0 {
+		t.Error("a peer hands on what was handed to it")
+	}
+	f.kill("a")
+	check := func(r *Register) {
+		t.Helper()
+		for id, want := range map[string]string{"q1": "v1", "q2": "v2"} {
+			if v, err := find(r, id); v != want || err != nil {
+				t.Errorf("stream %s: got version %q, error %v, want %s", id, v, err, want)
+			}
+		}
+	}
+	check(b)
+	f.waitFor(t, "the peer has stored them", func() bool { return len(f.copyObjects()[StreamsKind+"/b"].Value()) > 0 })
+	f.kill("b")
+	check(f.start("c"))
+}
--- a/internal/forward/origin/store.go
+++ b/internal/forward/origin/store.go
@@ -22,40 +22,50 @@
 // storeStreams writes the origins of this instance's streams at ambiguous services, until ctx ends.
 // What an earlier process of the instance has written stays for keepTime.
 func (r *Register) storeStreams(ctx context.Context) {
-	var version int64
-	var earlier map[digest]Origin
-	known, keepUntil, before, eraBefore := false, time.Now().Add(2*keepTime), 0, int64(0)
+	o := ownObject{keepUntil: time.Now().Add(2 * keepTime)}
 	for ctx.Err() == nil {
 		pause.For(ctx, r.storeInterval())
-		ambiguous := r.ambiguous(r.Listing())
-		era := r.era()
-		if len(ambiguous) == 0 || !r.streams.takeChanged() && len(ambiguous) == before && era == eraBefore {
-			continue
-		}
-		before, eraBefore = len(ambiguous), era
-		if !known {
-			v, streams, err := r.readOwn(ctx)
-			if err != nil {
-				before = 0
-				continue
-			}
-			known, version = true, v
-			if time.Now().Before(keepUntil) {
-				earlier = streams
-			}
-		}
-		streams := r.streams.current(time.Now())
-		maps.DeleteFunc(streams, func(_ digest, o Origin) bool { return !ambiguous[o.Service] })
-		if time.Now().Before(keepUntil) {
-			maps.Copy(streams, earlier)
-		}
-		written, err := r.writeOwn(ctx, version, streams)
+		err := r.storeOwn(ctx, &o)
+		r.unstored.Store(err != nil)
+	}
+}
+
+// ownObject is what is known of the object with the origins of this instance's streams.
+type ownObject struct {
+	known     bool
+	version   int64             // of the object, if known
+	earlier   map[digest]Origin // what an earlier process has written
+	keepUntil time.Time         // until when that is written again
+	services  int               // number of ambiguous services at the last write, 0 if it failed
+	era       int64             // of the platform, at the last write
+}
+
+// storeOwn writes the origins of this instance's streams if they have changed since the last write.
+func (r *Register) storeOwn(ctx context.Context, o *ownObject) error {
+	ambiguous, era := r.ambiguous(r.Listing()), r.era()
+	if len(ambiguous) == 0 || !r.streams.takeChanged() && len(ambiguous) == o.services && era == o.era {
+		return nil
+	}
+	o.services, o.era = 0, era
+	if !o.known {
+		version, streams, err := r.readOwn(ctx)
 		if err != nil {
-			known, before = false, 0
-			continue
+			return err
 		}
-		version = written
+		o.known, o.version, o.earlier = true, version, streams
+	}
+	streams := r.streams.current(time.Now())
+	maps.DeleteFunc(streams, func(_ digest, s Origin) bool { return !ambiguous[s.Service] })
+	if time.Now().Before(o.keepUntil) {
+		maps.Copy(streams, o.earlier)
+	}
+	written, err := r.writeOwn(ctx, o.version, streams)
+	if err != nil {
+		o.known = false
+		return err
 	}
+	o.version, o.services = written, len(ambiguous)
+	return nil
 }
 
 // storeInterval returns the time from one write of this instance's origins to the next.
--- a/internal/forward/picker/doubt.go
+++ b/internal/forward/picker/doubt.go
@@ -60,6 +60,15 @@
 	return pk.state.same(openedAt, registryAt)
 }
 
+// Replaced reports whether this instance has heard of another endpoint that has taken the place of this
+// one.
+func (pk *Pick) Replaced() bool {
+	pk.picker.mu.Lock()
+	defer pk.picker.mu.Unlock()
+	s := pk.picker.endpoints[pk.state.ID]
+	return s != nil && s != pk.state
+}
+
 // same is Same for a caller that holds the lock of the picker.
 func (s *endpointState) same(openedAt, registryAt time.Time) bool {
 	return !openedAt.After(registryAt) || !openedAt.After(s.sameUntil)
--- a/internal/forward/serve/origin.go
+++ b/internal/forward/serve/origin.go
@@ -66,7 +66,10 @@
 // sameEndpoint reports whether the endpoint of pk is surely behind the connection of the present attempt.
 // While the registry is followed, an endpoint that takes its place is heard of.
 func (x *exchange) sameEndpoint(pk *picker.Pick) bool {
-	return x.RegistryLive == nil || x.RegistryLive() || pk.Same(x.openedAt, x.ConfirmedAt())
+	if x.RegistryLive == nil {
+		return true
+	}
+	return !pk.Replaced() && (x.RegistryLive() || pk.Same(x.openedAt, x.ConfirmedAt()))
 }
 
 // noteOrigin records at the first event of the response which version sends it. A stream that is
