serve: without the registry, an endpoint is asked itself when it has started

Cause: an endpoint that cuts many streams soon has no connection left of which it is sure that it is the same. Change: on a connection that is not sure the endpoint is asked for its start before the stream is sent.

--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -160,6 +160,7 @@
 		Table: routes.Table, Picker: p, Poison: crashes, Permit: granter.Acquire, Origins: origins, Pool: pool, Reserver: reserver, Retries: limits.Window, Codec: platform.HeaderCodec(),
 		RegistryAge: func() time.Duration { return f.endpoints.Age(time.Now()) }, OutOfStep: f.outOfStep,
 		ConfirmedAt: f.endpoints.ConfirmedAt, RegistryLive: func() bool { return f.endpoints.Live(time.Now()) },
+		Reports: serve.Reports{Request: platform.ReportRequest, Decode: platform.DecodeReport},
 		Metrics: serve.NewMetrics(set), Logger: logger,
 	}
 }
--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// Reusable reports whether the connection may serve another request.
+func (c *Conn) Reusable() bool { return c.reusable() }
+
 // reusable reports whether the connection may serve another request: the endpoint
 // keeps it open, the last request was fully written, the body of the last response was
 // read to its end, and no unread bytes are buffered.
--- a/internal/forward/conns/pool.go
+++ b/internal/forward/conns/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -75,6 +76,15 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// StillOpen reports whether an idle connection to an address is open still, of those that were opened at a
+// time for which opened returns true. The endpoint behind it has not ended since then.
+func (p *Pool) StillOpen(address string, opened func(at time.Time) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(p.idle[address], func(c *Conn) bool { return opened(c.openedAt) && c.healthy(now) })
+}
+
 // closeIdle closes the idle connections to an address.
 func (p *Pool) closeIdle(address string) {
 	p.mu.Lock()
--- a/internal/forward/picker/doubt.go
+++ b/internal/forward/picker/doubt.go
@@ -60,6 +60,13 @@
 	return pk.state.same(openedAt, registryAt)
 }
 
+// Unchanged records that the endpoint is the one that this instance knows still.
+func (pk *Pick) Unchanged(now time.Time) {
+	pk.picker.mu.Lock()
+	defer pk.picker.mu.Unlock()
+	pk.state.sameUntil = now
+}
+
 // Replaced reports whether this instance has heard of another endpoint that has taken the place of this
 // one.
 func (pk *Pick) Replaced() bool {
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -268,12 +268,12 @@
 	// on the connection of this one.
 	fresh := slices.Contains(x.addresses, e.Address)
 	x.addresses = append(x.addresses, e.Address)
-	conn, err := x.Pool.Get(ctx, e.Address, fresh)
+	conn, err := x.connect(ctx, pk, fresh)
 	if err != nil {
 		return errors.Mark(err, errNotConnected)
 	}
 	x.Metrics.connected(conn.Reused())
-	x.relayed, x.openedAt = conn.Relayed(), conn.OpenedAt()
+	x.relayed = conn.Relayed()
 	if x.version != "" && !x.sameEndpoint(pk) {
 		x.Pool.Put(conn)
 		return errors.Mark(errors.WithStack(errNotSure), errNotConnected)
--- a/internal/forward/serve/origin.go
+++ b/internal/forward/serve/origin.go
@@ -64,12 +64,27 @@
 }
 
 // sameEndpoint reports whether the endpoint of pk is surely behind the connection of the present attempt.
-// While the registry is followed, an endpoint that takes its place is heard of.
+// While the registry is followed, an endpoint that takes its place is heard of. Otherwise another
+// connection that led to it before shows that it has not ended.
 func (x *exchange) sameEndpoint(pk *picker.Pick) bool {
-	if x.RegistryLive == nil {
+	switch {
+	case x.RegistryLive == nil:
 		return true
+	case pk.Replaced():
+		return false
+	case x.RegistryLive():
+		return true
+	}
+	now, confirmedAt := time.Now(), x.ConfirmedAt()
+	same := func(openedAt time.Time) bool { return pk.Same(openedAt, confirmedAt) }
+	if same(x.openedAt) {
+		return true
+	}
+	if !x.Pool.StillOpen(pk.Endpoint().Address, same) {
+		return false
 	}
-	return !pk.Replaced() && (x.RegistryLive() || pk.Same(x.openedAt, x.ConfirmedAt()))
+	pk.Unchanged(now)
+	return true
 }
 
 // noteOrigin records at the first event of the response which version sends it. A stream that is
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -66,6 +66,8 @@
 	// RegistryLive reports whether it hears of each change. If RegistryLive is nil, it does.
 	ConfirmedAt  func() time.Time
 	RegistryLive func() bool
+	// Reports, if set, asks an endpoint itself while that registry is out of reach.
+	Reports Reports
 	// OutOfStep, if set, reports whether the process has stood still since that registry was last
 	// confirmed, so that others may have taken the place of endpoints.
 	OutOfStep func() bool
