forward/origin: one grouping of streams by origin, for the store and for peers

Found on reading the change again: Unstored and encodeStreams grouped streams by origin each for itself, Keep and decodeStreams took groups apart each for itself, and own was current with another condition. Now groupStreams, Group.each and current(wanted) serve both; the value in the store is the same (Group has the fields of groupJSON, which is gone).

--- a/internal/forward/origin/book.go
+++ b/internal/forward/origin/book.go
@@ -7,8 +7,8 @@
 
 // Origin is where a stream began.
 type Origin struct {
-	Service string
-	Version string // of the software of the endpoint that sent the first event
+	Service string `json:"service"`
+	Version string `json:"version"` // of the software of the endpoint that sent the first event
 }
 
 // maxStreams is the largest number of streams that a book remembers.
@@ -68,29 +68,19 @@
 	return changed
 }
 
-// current returns the entries that are not past their time and forgets the others.
-func (b *book) current(now time.Time) map[digest]Origin {
+// current returns the entries that are wanted, of those that are not past their time, and forgets the
+// others.
+func (b *book) current(now time.Time, wanted func(e entry) bool) map[digest]Origin {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.prune(now)
-	current := make(map[digest]Origin, len(b.streams))
+	current := map[digest]Origin{}
 	for id, e := range b.streams {
-		current[id] = e.Origin
-	}
-	return current
-}
-
-// own returns the entries that no peer has handed over, and that are not past their time.
-func (b *book) own(now time.Time) map[digest]Origin {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	own := map[digest]Origin{}
-	for id, e := range b.streams {
-		if !e.handed && !now.After(e.until) {
-			own[id] = e.Origin
+		if wanted(e) {
+			current[id] = e.Origin
 		}
 	}
-	return own
+	return current
 }
 
 // prune forgets the entries that are past their time. The caller holds the lock.
--- a/internal/forward/origin/codec.go
+++ b/internal/forward/origin/codec.go
@@ -29,14 +29,35 @@
 
 // streamsJSON is the value of the object with the origins of one instance's streams.
 type streamsJSON struct {
-	Streams []groupJSON `json:"streams"`
+	Streams []Group `json:"streams"`
 }
 
-// groupJSON holds the streams with one origin.
-type groupJSON struct {
-	Service string `json:"service"`
-	Version string `json:"version"`
-	IDs     []byte `json:"ids"` // digests, one after the other; base64 in JSON
+// Group holds the streams with one origin.
+type Group struct {
+	Origin
+	IDs []byte `json:"ids"` // digests of the IDs of the requests that began them, one after the other; base64 in JSON
+}
+
+// groupStreams returns streams by their origin.
+func groupStreams(streams map[digest]Origin) []Group {
+	ids := map[Origin][]byte{}
+	for id, o := range streams {
+		ids[o] = append(ids[o], id[:]...)
+	}
+	var groups []Group
+	for o, list := range ids {
+		groups = append(groups, Group{Origin: o, IDs: list})
+	}
+	return groups
+}
+
+// each calls found with each stream of the group.
+func (g Group) each(found func(id digest, o Origin)) {
+	for id := range slices.Chunk(g.IDs, digestBytes) {
+		if len(id) == digestBytes {
+			found(digest(id), g.Origin)
+		}
+	}
 }
 
 // errUnreadable means that the object that lists versions holds something else.
@@ -123,15 +144,7 @@
 
 // encodeStreams encodes the origins of streams.
 func encodeStreams(streams map[digest]Origin) ([]byte, error) {
-	groups := map[Origin][]byte{}
-	for id, o := range streams {
-		groups[o] = append(groups[o], id[:]...)
-	}
-	var j streamsJSON
-	for o, ids := range groups {
-		j.Streams = append(j.Streams, groupJSON{Service: o.Service, Version: o.Version, IDs: ids})
-	}
-	data, err := json.Marshal(j)
+	data, err := json.Marshal(streamsJSON{Streams: groupStreams(streams)})
 	return data, errors.Wrap(err, "origin: encode origins of streams")
 }
 
@@ -142,11 +155,7 @@
 		return errors.Wrap(err, "origin: decode origins of streams")
 	}
 	for _, g := range j.Streams {
-		for ids := range slices.Chunk(g.IDs, digestBytes) {
-			if len(ids) == digestBytes {
-				found(digest(ids), Origin{Service: g.Service, Version: g.Version})
-			}
-		}
+		g.each(found)
 	}
 	return nil
 }
--- a/internal/forward/origin/hand.go
+++ b/internal/forward/origin/hand.go
@@ -1,9 +1,6 @@
 package origin
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// maxHanded is the largest number of streams whose origins are handed to a peer at a time.
@@ -12,12 +9,6 @@
 	handedTime = 30 * time.Second
 )
 
-// Group holds streams that began at one origin.
-type Group struct {
-	Origin
-	IDs []byte // digests of the IDs of the requests that began them, one after the other
-}
-
 // Unstored returns the origins that this instance could not store on the platform, none while it can.
 // Peers that get them know them when this instance has ended, and store them with their own.
 func (r *Register) Unstored() []Group {
@@ -25,29 +16,22 @@
 		return nil
 	}
 	ambiguous := r.ambiguous(r.Listing())
-	ids := map[Origin][]byte{}
-	left := maxHanded
-	for id, o := range r.streams.own(time.Now()) {
-		if ambiguous[o.Service] && left > 0 {
-			ids[o] = append(ids[o], id[:]...)
-			left--
+	taken := 0
+	return groupStreams(r.streams.current(time.Now(), func(e entry) bool {
+		if e.handed || !ambiguous[e.Service] || taken == maxHanded {
+			return false
 		}
-	}
-	var groups []Group
-	for o, list := range ids {
-		groups = append(groups, Group{Origin: o, IDs: list})
-	}
-	return groups
+		taken++
+		return true
+	}))
 }
 
 // Keep remembers origins that a peer could not store.
 func (r *Register) Keep(groups []Group) {
 	now := time.Now()
 	for _, g := range groups {
-		for id := range slices.Chunk(g.IDs, digestBytes) {
-			if len(id) == digestBytes {
-				r.streams.addHanded(digest(id), entry{Origin: g.Origin, until: now.Add(handedTime), handed: true}, now)
-			}
-		}
+		g.each(func(id digest, o Origin) {
+			r.streams.addHanded(id, entry{Origin: o, until: now.Add(handedTime), handed: true}, now)
+		})
 	}
 }
--- a/internal/forward/origin/store.go
+++ b/internal/forward/origin/store.go
@@ -54,8 +54,7 @@
 		}
 		o.known, o.version, o.earlier = true, version, streams
 	}
-	streams := r.streams.current(time.Now())
-	maps.DeleteFunc(streams, func(_ digest, s Origin) bool { return !ambiguous[s.Service] })
+	streams := r.streams.current(time.Now(), func(e entry) bool { return ambiguous[e.Service] })
 	if time.Now().Before(o.keepUntil) {
 		maps.Copy(streams, o.earlier)
 	}
