feed, conns, ledger: state that follows from other state, one name each, no silent error

Found on reading the change again: the feed kept the platform's era, which its last list has; Reusable only called reusable; two packages of the own surface each had the bound of a response's header; an error on creating the layout again was dropped. Changes: the era is that of listedTo, one method, send.MaxResponseHeader, and the error is reported as the other ones of the layout are (a line in the log more).

--- a/internal/entry/send/send.go
+++ b/internal/entry/send/send.go
@@ -61,8 +61,8 @@
 	// MaxResponse is the maximum size of the response body of a plain service, in
 	// bytes. A larger response is reported as ErrBroken.
 	MaxResponse = 16 << 20
-	// maxResponseHeader is the maximum size of the header of an endpoint's response, in bytes.
-	maxResponseHeader = 64 << 10
+	// MaxResponseHeader is the maximum size of the header of an endpoint's response, in bytes.
+	MaxResponseHeader = 64 << 10
 )
 
 // Sender sends requests to endpoints over HTTP. Make one with NewSender.
@@ -78,10 +78,10 @@
 	return &Sender{
 		pooled: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
-			MaxResponseHeaderBytes: maxResponseHeader, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
+			MaxResponseHeaderBytes: MaxResponseHeader, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
 		}},
 		unpooled: &http.Client{Transport: &http.Transport{
-			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader,
+			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxResponseHeader,
 		}},
 	}
 }
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -75,7 +75,6 @@
 	changed     chan struct{}             // closed and replaced after each change
 	unavailable bool                      // the last call to the platform failed, other than with object.ErrExpired
 	heardAt     time.Time                 // when the platform last responded, zero before the first response
-	era         int64                     // of the platform, at its last response
 	lostAt      time.Time                 // when calls to the platform last began to fail
 	backAt      time.Time                 // when the platform was last back after an outage or a loss, zero if it never was away
 	confirmedAt time.Time                 // see ConfirmedAt
@@ -297,8 +296,8 @@
 	f.acceptRestored(page, list, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed {
-		f.era = object.EraOf(page.Version())
+	if f.listed && object.EraOf(page.Version()) != object.EraOf(f.listedTo) {
+		f.backAt = now
 	}
 	f.watched = max(f.watched, page.Version())
 	if list {
@@ -306,9 +305,6 @@
 	}
 	f.listed, f.renew = true, false
 	f.heardAt, f.askedAt = now, began
-	if era := object.EraOf(page.Version()); era != f.era {
-		f.era, f.backAt = era, now
-	}
 	f.confirm(now, now)
 	return len(page.Objects()) > 0, nil
 }
@@ -367,10 +363,10 @@
 	f.mu.Lock()
 	wasUnavailable := f.unavailable
 	f.unavailable = err != nil
-	if err != nil && !wasUnavailable {
+	switch {
+	case err != nil && !wasUnavailable:
 		f.lostAt = time.Now()
-	}
-	if err == nil && wasUnavailable {
+	case err == nil && wasUnavailable:
 		f.backAt = time.Now()
 	}
 	version := f.watched
--- a/internal/fleet/ledger/layout.go
+++ b/internal/fleet/ledger/layout.go
@@ -108,14 +108,22 @@
 	if !stated || era == s.layoutEra.Load() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, batchTimeout)
 	defer cancel()
-	if err := s.writeLayout(ctx, count); err != nil && !errors.Is(err, object.ErrConflict) {
-		return // the next call tries again
+	if err := s.writeLayout(callCtx, count); err != nil && !errors.Is(err, object.ErrConflict) {
+		s.failed(ctx, err) // the next call tries again
+		return
 	}
 	s.layoutEra.Store(era)
 }
 
+// failed reports an error of the layout, unless ctx has ended.
+func (s *Shards) failed(ctx context.Context, err error) {
+	if s.RecoveryFailed != nil && ctx.Err() == nil {
+		s.RecoveryFailed(layoutName, err)
+	}
+}
+
 // deriveLayout returns the number of shards by which the stored ledgers were spread, the preferred one if
 // it fits them. A build without layouts, or one whose layout the platform has lost, has written them.
 func (s *Shards) deriveLayout(ctx context.Context) (int, error) {
--- a/internal/fleet/ledger/recovery.go
+++ b/internal/fleet/ledger/recovery.go
@@ -187,9 +187,7 @@
 	pause.Every(ctx, recoveryInterval, func(time.Time) {
 		shards, err := s.agree(ctx)
 		if err != nil {
-			if s.RecoveryFailed != nil && ctx.Err() == nil {
-				s.RecoveryFailed(layoutName, err)
-			}
+			s.failed(ctx, err)
 			return
 		}
 		s.restoreLayout(ctx, len(shards))
--- a/internal/fleet/node/providers.go
+++ b/internal/fleet/node/providers.go
@@ -44,9 +44,6 @@
 // also to a call whose context has no deadline.
 const platformTimeout = 20 * time.Second
 
-// maxHealthHeader is the maximum size of the header of an endpoint's load report, in bytes.
-const maxHealthHeader = 64 << 10
-
 // platformClient returns an HTTP client for calls to the platform. It adds the
 // availability zone of this instance to each request.
 func platformClient(s *setup.Settings) *http.Client {
@@ -98,7 +95,7 @@
 // NewPoller returns a poller that reads the load reports of the endpoints in the
 // configuration and passes them to the picker.
 func NewPoller(c *config.Cache, p *choose.Picker) *health.Poller {
-	return health.NewPoller(&http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHealthHeader}}, c.Snapshot, p)
+	return health.NewPoller(&http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: send.MaxResponseHeader}}, c.Snapshot, p)
 }
 
 // NewMembers returns a membership table that contains only this instance.
--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -158,13 +158,10 @@
 	}
 }
 
-// Reusable reports whether the connection may serve another request.
-func (c *Conn) Reusable() bool { return c.reusable() }
-
-// reusable reports whether the connection may serve another request: the endpoint
+// Reusable reports whether the connection may serve another request: the endpoint
 // keeps it open, the last request was fully written, the body of the last response was
 // read to its end, and no unread bytes are buffered.
-func (c *Conn) reusable() bool {
+func (c *Conn) Reusable() bool {
 	if c.closing || c.relayed || c.unread || c.br.Buffered() > 0 {
 		return false
 	}
--- a/internal/forward/conns/pool.go
+++ b/internal/forward/conns/pool.go
@@ -59,7 +59,7 @@
 // Put returns a connection to the pool for reuse. It closes the connection instead
 // if the connection is not reusable or the pool is closed.
 func (p *Pool) Put(c *Conn) {
-	if !c.reusable() {
+	if !c.Reusable() {
 		c.Close()
 		return
 	}
