--- a/internal/fleet/drain/drain_test.go
+++ b/internal/fleet/drain/drain_test.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// Guards against requests that are taken late in a planned stop (review/4): a response that had begun
+// Guards against requests that are taken late in a planned stop: a response that had begun
 // before keep-alives were disabled says nothing of the end of its connection, so the connection must end
 // with it, before the next request is read.
 func TestConnectionEndsWithAResponseThatBeganBefore(t *testing.T) {
--- a/internal/fleet/ledger/layout_test.go
+++ b/internal/fleet/ledger/layout_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// Guards against ledgers that begin anew, with nothing spent, because a setting has changed (review/3).
+// Guards against ledgers that begin anew, with nothing spent, because a setting has changed.
 func TestLedgersStayWhereTheyAreIfTheSettingChanges(t *testing.T) {
 	k := newKindStore()
 	want := payAll(t, NewShards(k.store(), 4))
@@ -155,8 +155,8 @@
 	}
 }
 
-// Guards against a ledger that begins anew because the platform has come back from a copy from before it
-// (the review's scene unseen): a process that starts then waits for those that remember it.
+// Guards against a ledger that begins anew because the platform has come back from a copy from before it:
+// a process that starts then waits for those that remember it.
 func TestProcessThatStartsAfterALossBeginsNoLedgerAnew(t *testing.T) {
 	k := newKindStore()
 	old := NewShards(k.store(), 1)
--- a/internal/forward/origin/register_test.go
+++ b/internal/forward/origin/register_test.go
@@ -367,7 +367,7 @@
 }
 
 // Guards against streams that go on at another version after the store has come back from a copy that
-// is older than the list of versions (review/2).
+// is older than the list of versions.
 func TestListedVersionsSurviveALossOfTheStore(t *testing.T) {
 	f := newFleet(t)
 	a, b := f.start("a"), f.start("b")
@@ -453,7 +453,7 @@
 	f.waitFor(t, "take-ups go on after the build before has written the list", goesOn)
 }
 
-// Guards against streams of a split route that are lost with the instance that relayed them (review/5).
+// Guards against streams of a split route that are lost with the instance that relayed them.
 func TestServiceOfASplitRouteIsFoundAfterTheStopOfAnInstance(t *testing.T) {
 	f := newFleet(t)
 	a, b := f.start("a"), f.start("b")
@@ -479,8 +479,8 @@
 	}
 }
 
-// Guards against origins that die with an instance which the platform turns away (the review's scene
-// unwritten): peers know them, and store them with their own.
+// Guards against origins that die with an instance which the platform turns away:
+// peers know them, and store them with their own.
 func TestPeersStoreOriginsOfAnInstanceThatIsTurnedAway(t *testing.T) {
 	f := newFleet(t)
 	a, b := f.start("a"), f.start("b")
