--- a/internal/fleet/drain/drain_test.go
+++ b/internal/fleet/drain/drain_test.go
@@ -157,6 +157,12 @@
 // before keep-alives were disabled says nothing of the end of its connection, so the connection must end
 // with it, before the next request is read.
 func TestConnectionEndsWithAResponseThatBeganBefore(t *testing.T) {
+	for _, length := range []string{"", "23"} { // in chunks, and with a length
+		t.Run("length "+length, func(t *testing.T) { testResponseThatBeganBefore(t, length) })
+	}
+}
+
+func testResponseThatBeganBefore(t *testing.T, length string) {
 	var d Conns
 	var requests atomic.Int64
 	entered, release := make(chan struct{}), make(chan struct{})
@@ -164,6 +170,9 @@
 		if requests.Add(1) > 1 {
 			return
 		}
+		if length != "" {
+			w.Header().Set("Content-Length", length)
+		}
 		io.WriteString(w, "first half, ")
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			t.Error(err)
