memory, caller, socket: one bound for what callers make a process hold

What callers saw: a process with many large bodies at once, whole, piece by piece or in chunks, most stopping short of their end, ran out of memory, and all its callers lost it.

Cause: nothing counted what callers make a process hold. Each body was read to its limit (buffers that double, up to twice as much), heads of up to 256 KiB in short lines took ten times their bytes, the kernel kept up to megabytes a connection for what nobody read, answers that nobody read held their request without an end, a refused body was awaited, and connections were as many as files.

Ruled out: a cap for each form; a limit for each caller (all come from one balancer); refusing only newcomers, which leaves the room to those that stay.

Change: one bound of bytes and files for the process, four tenths of its memory. Connections, heads, bodies, kept responses and tunnels take from it before they hold. When it is nearly full, connections that wait for their callers are ended, those first that have kept the most for the longest time; a request that runs is never ended. Large holds get three quarters. Kernel buffers are 32 KiB each way. A refusal does not wait for the rest of a body. A caller that takes less than 16 KiB in 10 s is cut. On both surfaces, by way of a peer too.

--- a/internal/entry/accept/accept.go
+++ b/internal/entry/accept/accept.go
@@ -3,16 +3,18 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"jacinthladder.dev/internal/conf/spec"
 	"jacinthladder.dev/internal/entry/call"
+	"jacinthladder.dev/internal/fleet/caller"
 	"jacinthladder.dev/internal/fleet/config"
+	"jacinthladder.dev/internal/fleet/memory"
 )
 
 const (
@@ -21,6 +23,11 @@
 	// maxKeyLength is the maximum length of an idempotency key, in bytes. A request
 	// with a longer key is refused.
 	maxKeyLength = 255
+	// requestBytes is what a request takes of the memory of the process beside its head and its body: its
+	// connection to an endpoint, its response as far as it is text, and buffers.
+	requestBytes = 64 << 10
+	// fullRetryAfter is the time after which a caller is told to retry if there is no room for its request.
+	fullRetryAfter = time.Second
 )
 
 // Parser authenticates HTTP requests and turns them into calls.
@@ -63,6 +70,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !memory.From(r.Context()).Grow(parsedBytes(body)) {
+		return nil, refuseFull()
+	}
 	q, err := parseChat(body)
 	if err != nil {
 		return nil, err
@@ -125,20 +135,29 @@
 	return call.NewPlain(newID("call-"), account, key, hash.Sum64(), s, plain), nil
 }
 
-// readBody returns the body of r. A body that is larger than MaxBody or that can't be
+// readBody returns the body of r. A body that is larger than MaxBody, for which there is no room or that can't be
 // read to its end is refused.
 func (p *Parser) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.MaxBody))
-	if err == nil {
-		return body, nil
+	if !memory.From(r.Context()).Grow(requestBytes) {
+		return nil, refuseFull()
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	body, err := caller.ReadBody(w, r, p.MaxBody)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, memory.ErrTooLarge):
 		return nil, call.Refuse(call.TooLarge, "the body is larger than %d bytes", p.MaxBody)
+	case errors.Is(err, memory.ErrNoRoom):
+		return nil, refuseFull()
 	}
 	return nil, call.Refuse(call.BadRequest, "the body broke off")
 }
 
+// refuseFull returns the refusal of a request for which there is no room in the memory of the process.
+func refuseFull() error {
+	return call.Refuse(call.Full, "there is no room for the request now").RetryAfter(fullRetryAfter)
+}
+
 // idempotencyKey returns the idempotency key of r, or "" if it has none. A key longer
 // than maxKeyLength is refused.
 func idempotencyKey(r *http.Request) (string, error) {
--- a/internal/entry/accept/chat.go
+++ b/internal/entry/accept/chat.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +42,18 @@
 	size   int64 // size of the body, in bytes
 }
 
+const (
+	// parsedCopies is how often a body is copied while it is decoded and encoded for the engine.
+	parsedCopies = 3
+	// elementBytes is what each field or element of a body takes beyond its text, in bytes.
+	elementBytes = 112
+)
+
+// parsedBytes returns how much memory parseChat and withLimits take at most for a body.
+func parsedBytes(body []byte) int64 {
+	return int64(parsedCopies*len(body) + elementBytes*bytes.Count(body, []byte{','}))
+}
+
 // parseChat decodes and checks the body of a chat completions request. If the body is
 // not valid, the error is a refusal.
 func parseChat(body []byte) (*chatRequest, error) {
--- a/internal/entry/call/call.go
+++ b/internal/entry/call/call.go
@@ -97,6 +97,9 @@
 // zero value in a call of a model service.
 func (c *Call) Plain() *PlainCall { return &c.plain }
 
+// Size returns the length of the body that is sent to an endpoint, in bytes.
+func (c *Call) Size() int64 { return int64(len(c.chat.Body) + len(c.plain.Body)) }
+
 // Retryable reports whether the call may run more than once. A call of a model service
 // always may; a call of a plain service only if a retry rule of the service matches.
 func (c *Call) Retryable() bool {
--- a/internal/entry/call/refusal.go
+++ b/internal/entry/call/refusal.go
@@ -47,6 +47,7 @@
 	ClaimUnavailable  Code = "claim_unavailable"
 	RateLimit         Code = "rate_limit"
 	NoCapacity        Code = "no_capacity"
+	Full              Code = "full" // there is no room for the request in the memory of the process
 	Leaving           Code = "leaving"
 	NoAnswer          Code = "no_answer"
 	Failed            Code = "failed"
@@ -68,6 +69,7 @@
 	ClaimUnavailable:  http.StatusServiceUnavailable,
 	RateLimit:         http.StatusTooManyRequests,
 	NoCapacity:        http.StatusServiceUnavailable,
+	Full:              http.StatusServiceUnavailable,
 	Leaving:           http.StatusServiceUnavailable,
 	NoAnswer:          http.StatusBadGateway,
 	Failed:            http.StatusInternalServerError,
--- a/internal/entry/flow/keyed.go
+++ b/internal/entry/flow/keyed.go
@@ -11,12 +11,17 @@
 	"jacinthladder.dev/internal/entry/price"
 	"jacinthladder.dev/internal/entry/relay"
 	"jacinthladder.dev/internal/entry/replay"
+	"jacinthladder.dev/internal/fleet/memory"
 	"jacinthladder.dev/internal/fleet/once"
 	"jacinthladder.dev/internal/fleet/peers"
 	"jacinthladder.dev/internal/fleet/peers/wire"
 )
 
 const (
+	// attemptBytes and attemptFiles are what an attempt at a call with an idempotency key takes beside its
+	// body, as it goes on without its caller: its response as far as it is text, and its connection to an endpoint.
+	attemptBytes = 64 << 10
+	attemptFiles = 1
 	// pollWait is how long a poll for a response of another instance waits for the
 	// next chunk.
 	pollWait = time.Second
@@ -46,7 +51,17 @@
 		return err
 	}
 	if first {
-		p.background.Go(func() { p.runAttempt(context.WithoutCancel(ctx), c, e) })
+		hold, ok := p.Bound.Open(attemptBytes+2*c.Size(), attemptFiles, nil)
+		if !ok {
+			err := call.Refuse(call.Full, "there is no room for the request now").RetryAfter(time.Second)
+			p.Replays.End(e, err, false, 0)
+			return err
+		}
+		ctx := memory.With(context.WithoutCancel(ctx), hold)
+		p.background.Go(func() {
+			defer hold.Close()
+			p.runAttempt(ctx, c, e)
+		})
 	}
 	return e.Response().Follow(ctx, sink)
 }
--- a/internal/entry/flow/pipeline.go
+++ b/internal/entry/flow/pipeline.go
@@ -20,6 +20,7 @@
 	"jacinthladder.dev/internal/entry/replay"
 	"jacinthladder.dev/internal/entry/send"
 	"jacinthladder.dev/internal/entry/settle"
+	"jacinthladder.dev/internal/fleet/memory"
 	"jacinthladder.dev/internal/fleet/once"
 	"jacinthladder.dev/internal/fleet/owner"
 	"jacinthladder.dev/internal/fleet/peers/wire"
@@ -41,6 +42,8 @@
 	Recorder *settle.Recorder
 	Metrics  *meter.Metrics
 	Logger   log.Interface
+	// Bound is what callers can make the process hold.
+	Bound *memory.Bound
 
 	// Registry registers the attempt at each call that has an idempotency key at the
 	// owners of the key. These are the instances that store the attempts at the key.
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -14,6 +14,9 @@
 // New returns an empty set of metrics.
 func New() *Metrics { return &Metrics{set: metrics.NewSet()} }
 
+// Set returns the set that holds the metrics, for parts that add their own.
+func (m *Metrics) Set() *metrics.Set { return m.set }
+
 // Answered counts a complete response of a service. The argument took is the time from
 // the acceptance of the call to the end of its response.
 func (m *Metrics) Answered(service string, took time.Duration) {
--- a/internal/entry/send/send.go
+++ b/internal/entry/send/send.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -17,6 +15,8 @@
 
 	"jacinthladder.dev/internal/entry/call"
 	"jacinthladder.dev/internal/entry/price"
+	"jacinthladder.dev/internal/fleet/memory"
+	"jacinthladder.dev/internal/fleet/socket"
 )
 
 var (
@@ -61,6 +61,11 @@
 	// MaxResponse is the maximum size of the response body of a plain service, in
 	// bytes. A larger response is reported as ErrBroken.
 	MaxResponse = 16 << 20
+	// unknownLength is the length of a response's body for memory.ReadAll, as that of a response to HEAD is not
+	// the one that its header states.
+	unknownLength = -1
+	// responseCopies is how often the body of a plain service's response is copied on its way to the caller.
+	responseCopies = 3
 	// MaxResponseHeader is the maximum size of the header of an endpoint's response, in bytes.
 	MaxResponseHeader = 64 << 10
 )
@@ -74,7 +79,9 @@
 
 // NewSender returns a sender with no open connections.
 func NewSender() *Sender {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	d := socket.Dialer()
+	d.Timeout = dialTimeout
+	dial := d.DialContext
 	return &Sender{
 		pooled: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
@@ -219,12 +226,16 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(leavingHeader) == "true" {
 		return Response{}, ErrLeaving
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponse+1))
+	hold := memory.From(ctx)
+	body, err := memory.ReadAll(resp.Body, hold, unknownLength, MaxResponse)
+	if errors.Is(err, memory.ErrTooLarge) {
+		return Response{}, errors.Wrapf(ErrBroken, "response of the plain service is larger than %d bytes", MaxResponse)
+	}
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrBroken)
 	}
-	if len(body) > MaxResponse {
-		return Response{}, errors.Wrapf(ErrBroken, "response of the plain service is larger than %d bytes", MaxResponse)
+	if !hold.Grow(int64(responseCopies * len(body))) {
+		return Response{}, errors.Mark(memory.ErrNoRoom, ErrBroken)
 	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/internal/fleet/build/wire_gen.go
+++ b/internal/fleet/build/wire_gen.go
@@ -30,6 +30,7 @@
 	}
 	processID := node.NewProcessID(s)
 	metrics := meter.New()
+	bound := node.NewBound(metrics, logger)
 	store := node.NewStore(s, metrics)
 	cache := node.NewConfig(store, logger)
 	table := node.NewMembers(processID, s, listeners)
@@ -39,7 +40,10 @@
 	poller := node.NewPoller(cache, picker)
 	recorder := node.NewRecorder(processID, store, logger)
 	parser := node.NewParser(s, cache)
-	replayTable := node.NewReplays(s)
+	replayTable, err := node.NewReplays(s, bound)
+	if err != nil {
+		return nil, err
+	}
 	reserver := node.NewReserver(holder)
 	sender := send.NewSender()
 	runner := relay.NewRunner(sender, logger)
@@ -47,7 +51,7 @@
 	claimer := node.NewClaimer(processID, store)
 	limiter := node.NewLimiter(table)
 	server := node.NewServer(table, holder, cache, picker, limiter)
-	pipeline := node.NewPipeline(parser, replayTable, reserver, picker, sender, runner, recorder, metrics, registry, claimer, limiter, client, server, logger)
+	pipeline := node.NewPipeline(parser, replayTable, reserver, picker, sender, runner, recorder, metrics, registry, claimer, limiter, client, server, bound, logger)
 	source := node.NewRoster(s)
 	gossiper := node.NewGossiper(client, server, source, s, picker, logger)
 	deps := node.Deps{
@@ -56,6 +60,7 @@
 		Logger:    logger,
 		ProcessID: processID,
 		Metrics:   metrics,
+		Bound:     bound,
 		Config:    cache,
 		Holder:    holder,
 		Picker:    picker,
@@ -80,6 +85,7 @@
 		return nil, err
 	}
 	set := metrics.NewSet()
+	bound := front.NewBound(s, set, logger)
 	client := front.NewClient()
 	routes := front.NewRoutes()
 	store := front.NewStore(s, client, set, logger)
@@ -98,7 +104,7 @@
 	granter := front.NewGranter(processID, peersClient)
 	register := front.NewOrigins(s, store, routes, feeds, picker, table, peersClient, logger)
 	pool := front.NewPool(peersClient, set, logger)
-	handler := front.NewTunnels(picker, pool, set)
+	handler := front.NewTunnels(picker, pool, bound, set)
 	server := front.NewServer(table, holder, feeds, roles, picker, tracker, granter, register, handler, signal, shards, logger)
 	gossiper := front.NewGossiper(peersClient, server, s, logger)
 	serveServer := front.NewForwarder(routes, feeds, picker, tracker, granter, register, pool, reserver, retryLimits, set, logger)
@@ -107,6 +113,7 @@
 		Listeners:   listeners,
 		Logger:      logger,
 		Metrics:     set,
+		Bound:       bound,
 		Client:      client,
 		Routes:      routes,
 		Feeds:       feeds,
--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -115,15 +115,15 @@
 
 // CloseListener closes a listener after acceptGrace, in which its server accepts the
 // connections that are still in the accept queue. The server must still be serving. A
-// listener that does not come from the method Listener, or whose inner listener is not a
-// TCP listener, is closed at once.
+// listener that does not come from the method Listener, or whose inner listener has no
+// deadline, is closed at once.
 func (d *Conns) CloseListener(l net.Listener) error {
 	w, ok := l.(*listener)
 	if !ok {
 		return l.Close()
 	}
 	w.closing.Store(true)
-	if t, ok := w.Listener.(*net.TCPListener); ok {
+	if t, ok := w.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		if err := t.SetDeadline(time.Now().Add(acceptGrace)); err != nil {
 			return errors.Wrap(err, "drain: set the deadline of the listener")
 		}
@@ -204,13 +204,25 @@
 
 // SetLinger sets how Close handles data that was not sent, as net.TCPConn.SetLinger does.
 func (c *conn) SetLinger(seconds int) error {
-	t, ok := c.Conn.(*net.TCPConn)
+	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return errors.Newf("drain: a connection of type %T has no linger option", c.Conn)
 	}
-	return t.SetLinger(seconds)
+	return l.SetLinger(seconds)
 }
 
+// CloseWrite shuts down the writing side of the connection, as net.TCPConn.CloseWrite does.
+func (c *conn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.Newf("drain: a connection of type %T has no writing side of its own", c.Conn)
+	}
+	return w.CloseWrite()
+}
+
+// NetConn returns the connection that was accepted from the inner listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection and stops tracking it.
 func (c *conn) Close() error {
 	c.conns.mu.Lock()
--- a/internal/fleet/front/node.go
+++ b/internal/fleet/front/node.go
@@ -15,8 +15,10 @@
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/coord/member"
 	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/caller"
 	"jacinthladder.dev/internal/fleet/drain"
 	"jacinthladder.dev/internal/fleet/ledger"
+	"jacinthladder.dev/internal/fleet/memory"
 	"jacinthladder.dev/internal/fleet/node"
 	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/fleet/peers"
@@ -72,6 +74,7 @@
 	Listeners   *Listeners
 	Logger      log.Interface
 	Metrics     *metrics.Set
+	Bound       *memory.Bound
 	Client      *http.Client
 	Routes      *Routes
 	Feeds       *Feeds
@@ -99,13 +102,14 @@
 	serveErrors    chan error    // errors of servers that failed, at most one of each server
 	firstPayment   chan struct{} // closed after the first attempt to pay in the budgets of a configuration
 	servers        sync.WaitGroup
-	callers        drain.Conns  // open connections of the server for callers, which a planned stop drains
+	intake         caller.Conns // connections of the server for callers, within Bound
+	callers        drain.Conns  // the same connections, which a planned stop drains
 	callerListener net.Listener // Listeners.callers, with its connections added to callers
 }
 
 // New returns a node with the given dependencies. The node serves only while Run runs.
 func New(d Deps) *Node {
-	n := &Node{Deps: d, serveErrors: make(chan error, 4), firstPayment: make(chan struct{})}
+	n := &Node{Deps: d, intake: caller.Conns{Bound: d.Bound}, serveErrors: make(chan error, 4), firstPayment: make(chan struct{})}
 	n.gracePeriod.Store(int64(d.Settings.Forward().GracePeriod))
 	return n
 }
@@ -127,7 +131,7 @@
 	adminServer := n.startServer(n.Listeners.admin, &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout})
 	n.awaitStart(ctx)
 	n.started.Store(true)
-	n.callerListener = n.callers.Listener(n.Listeners.callers)
+	n.callerListener = n.callers.Listener(n.intake.Listener(n.Listeners.callers))
 	n.startServer(n.callerListener, n.callerServer())
 	n.Logger.WithFields(log.Fields{
 		"instance": n.Settings.Name(), "zone": n.Settings.Zone(), "process": n.Holder.Process(), "callers": n.Settings.ListenAddress(),
@@ -168,7 +172,7 @@
 // in force if that sets both, and otherwise headerTimeout and callerIdleTimeout.
 func (n *Node) callerServer() *http.Server {
 	s := &http.Server{
-		Handler: n.callers.Handler(n.Forwarder), ConnState: n.callers.ConnState,
+		Handler: n.callers.Handler(n.intake.Handler(n.Forwarder)), ConnContext: n.intake.Context, ConnState: n.connState,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	if t := n.Routes.Table(); t != nil {
@@ -179,6 +183,12 @@
 	return s
 }
 
+// connState is called when the state of a caller's connection changes.
+func (n *Node) connState(nc net.Conn, s http.ConnState) {
+	n.intake.ConnState(nc, s)
+	n.callers.ConnState(nc, s)
+}
+
 // startServer starts to serve the connections of the open listener l with the server s,
 // and returns s. If the server fails, the error is sent to serveErrors.
 func (n *Node) startServer(l net.Listener, s *http.Server) *http.Server {
@@ -191,7 +201,7 @@
 	return s
 }
 
-// Reload applies the retry limits, the outage tolerance and the grace period of new
+// Reload applies the retry limits, the outage tolerance, the grace period and the memory of new
 // settings. Other changes, such as those of the addresses, name and zone, take effect at
 // the next start of the process. Reload logs a warning if the address for callers, the
 // address for peers or the URL of the platform has changed.
@@ -199,6 +209,7 @@
 	n.RetryLimits.configure(s.Forward())
 	n.Reserver.SetOutageTolerance(time.Duration(s.Forward().OutageTolerance))
 	n.gracePeriod.Store(int64(s.Forward().GracePeriod))
+	n.Bound.SetMemory(s.Forward().MemoryMB << 20)
 	if old := n.Settings; old.ListenAddress() != s.ListenAddress() || old.PeerAddress() != s.PeerAddress() || old.PlatformURL() != s.PlatformURL() {
 		n.Logger.Warn("front: changed addresses in the settings take effect after a restart of the process")
 	}
--- a/internal/fleet/front/providers.go
+++ b/internal/fleet/front/providers.go
@@ -14,8 +14,11 @@
 	"jacinthladder.dev/coord/member"
 	"jacinthladder.dev/coord/permit"
 	"jacinthladder.dev/internal/conf/setup"
+	"jacinthladder.dev/internal/fleet/caller"
+	"jacinthladder.dev/internal/fleet/memory"
 	"jacinthladder.dev/internal/fleet/node"
 	"jacinthladder.dev/internal/fleet/peers"
+	"jacinthladder.dev/internal/fleet/socket"
 	"jacinthladder.dev/internal/fleet/tunnel"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
@@ -32,7 +35,7 @@
 // ProviderSet is the set of providers from which Wire constructs a Node and its
 // dependencies.
 var ProviderSet = wire.NewSet(
-	node.NewProcessID, Listen, metrics.NewSet, NewClient, NewStore, NewMembers, node.NewClient, NewNews, NewPicker, NewRoutes, NewRoles,
+	node.NewProcessID, Listen, NewBound, metrics.NewSet, NewClient, NewStore, NewMembers, node.NewClient, NewNews, NewPicker, NewRoutes, NewRoles,
 	NewFeeds, NewPoison, NewGranter, NewOrigins, NewShards, NewHolder, NewReserver, NewRetryLimits, NewServer, NewGossiper, NewPool, NewTunnels, NewForwarder,
 	wire.Struct(new(Deps), "*"), New,
 )
@@ -54,7 +57,7 @@
 func Listen(s *setup.Settings) (*Listeners, error) {
 	var open []net.Listener
 	for _, a := range []string{s.ListenAddress(), s.Forward().ReadyAddress, s.PeerAddress(), s.AdminAddress()} {
-		l, err := net.Listen("tcp", a)
+		l, err := socket.Listen(a)
 		if err != nil {
 			for _, o := range open {
 				err = errors.CombineErrors(err, o.Close())
@@ -66,6 +69,14 @@
 	return &Listeners{callers: open[0], ready: open[1], peers: open[2], admin: open[3]}, nil
 }
 
+// NewBound returns the bound of what callers can make the instance hold. It follows from the memory in the
+// settings, and counts in set what it ends and refuses.
+func NewBound(s *setup.Settings, set *metrics.Set, logger log.Interface) *memory.Bound {
+	b := memory.ForProcess(s.Forward().MemoryMB << 20)
+	caller.Report(b, set, logger)
+	return b
+}
+
 // NewClient returns the HTTP client for calls to the platform's object store.
 func NewClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
@@ -140,8 +151,9 @@
 }
 
 // NewTunnels returns the handler that opens connections to endpoints for peers.
-func NewTunnels(p *picker.Picker, pool *conns.Pool, set *metrics.Set) *tunnel.Handler {
+func NewTunnels(p *picker.Picker, pool *conns.Pool, bound *memory.Bound, set *metrics.Set) *tunnel.Handler {
 	return &tunnel.Handler{
+		Bound: bound,
 		Known: p.KnowsAddress,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			nc, err := pool.DialOwn(ctx, address)
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -19,10 +19,13 @@
 	"jacinthladder.dev/internal/entry/flow"
 	"jacinthladder.dev/internal/entry/meter"
 	"jacinthladder.dev/internal/entry/settle"
+	"jacinthladder.dev/internal/fleet/caller"
 	"jacinthladder.dev/internal/fleet/config"
 	"jacinthladder.dev/internal/fleet/drain"
+	"jacinthladder.dev/internal/fleet/memory"
 	"jacinthladder.dev/internal/fleet/pause"
 	"jacinthladder.dev/internal/fleet/peers"
+	"jacinthladder.dev/internal/fleet/socket"
 	"jacinthladder.dev/internal/route/choose"
 	"jacinthladder.dev/internal/route/health"
 )
@@ -74,7 +77,8 @@
 
 	leaving        atomic.Bool // set at the start of a planned stop
 	callerServer   *http.Server
-	callerConns    drain.Conns  // open connections of callerServer, which a planned stop drains
+	intake         caller.Conns // connections of callerServer, within the bound of the process
+	callerConns    drain.Conns  // the same connections, which a planned stop drains
 	callerListener net.Listener // listeners.callers, with its connections added to callerConns
 	peerServer     *http.Server
 	adminServer    *http.Server
@@ -94,7 +98,7 @@
 func Listen(s *setup.Settings) (*Listeners, error) {
 	var open []net.Listener
 	for _, address := range []string{s.ListenAddress(), s.PeerAddress(), s.AdminAddress()} {
-		l, err := net.Listen("tcp", address)
+		l, err := socket.Listen(address)
 		if err != nil {
 			for _, o := range open {
 				err = errors.CombineErrors(err, o.Close())
@@ -113,6 +117,7 @@
 	Logger    log.Interface
 	ProcessID ProcessID
 	Metrics   *meter.Metrics
+	Bound     *memory.Bound
 	Config    *config.Cache
 	Holder    *escrow.Holder
 	Picker    *choose.Picker
@@ -131,16 +136,23 @@
 		settings: d.Settings, listeners: d.Listeners, logger: d.Logger, processID: d.ProcessID, metrics: d.Metrics,
 		config: d.Config, holder: d.Holder, picker: d.Picker, poller: d.Poller, recorder: d.Recorder, pipeline: d.Pipeline,
 		members: d.Members, client: d.Client, server: d.Server, gossiper: d.Gossiper,
-		serveErrors: make(chan error, 3),
+		serveErrors: make(chan error, 3), intake: caller.Conns{Bound: d.Bound},
 	}
 	n.callerServer = &http.Server{
-		Handler: n.callerConns.Handler(n.callerHandler()), ConnState: n.callerConns.ConnState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: n.callerConns.Handler(n.intake.Handler(n.callerHandler())), ConnContext: n.intake.Context, ConnState: n.connState,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	n.peerServer = &http.Server{Handler: d.Server.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.adminServer = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	return n
 }
 
+// connState is called when the state of a caller's connection changes.
+func (n *Node) connState(nc net.Conn, s http.ConnState) {
+	n.intake.ConnState(nc, s)
+	n.callerConns.ConnState(nc, s)
+}
+
 // ProcessID returns the ID of the process that the node runs in, such as
 // "entry-0/0123456789ab".
 func (n *Node) ProcessID() string { return string(n.processID) }
@@ -245,7 +257,7 @@
 // serve starts the servers for callers, peers and operators. A server that fails sends
 // its error to serveErrors.
 func (n *Node) serve() {
-	n.callerListener = n.callerConns.Listener(n.listeners.callers)
+	n.callerListener = n.callerConns.Listener(n.intake.Listener(n.listeners.callers))
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
--- a/internal/fleet/node/providers.go
+++ b/internal/fleet/node/providers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 	"github.com/google/wire"
 
 	"jacinthladder.dev/coord/escrow"
@@ -20,8 +21,10 @@
 	"jacinthladder.dev/internal/entry/replay"
 	"jacinthladder.dev/internal/entry/send"
 	"jacinthladder.dev/internal/entry/settle"
+	"jacinthladder.dev/internal/fleet/caller"
 	"jacinthladder.dev/internal/fleet/config"
 	"jacinthladder.dev/internal/fleet/ledger"
+	"jacinthladder.dev/internal/fleet/memory"
 	"jacinthladder.dev/internal/fleet/once"
 	"jacinthladder.dev/internal/fleet/owner"
 	"jacinthladder.dev/internal/fleet/peers"
@@ -35,11 +38,19 @@
 // ProviderSet is the set of providers from which Wire constructs a Node and its
 // dependencies.
 var ProviderSet = wire.NewSet(
-	NewProcessID, Listen, meter.New, NewStore, NewRoster, NewConfig, NewPicker, NewPoller, NewMembers, NewClient,
+	NewProcessID, Listen, meter.New, NewBound, NewStore, NewRoster, NewConfig, NewPicker, NewPoller, NewMembers, NewClient,
 	NewHolder, NewServer, NewGossiper, NewRecorder, NewParser, NewReplays, NewReserver, NewClaimer, owner.New, NewLimiter, send.NewSender, relay.NewRunner,
 	NewPipeline, wire.Struct(new(Deps), "*"), New,
 )
 
+// NewBound returns the bound of what callers can make the process hold. It follows from the memory limit of the
+// Go runtime. The metrics count what it ends and refuses.
+func NewBound(m *meter.Metrics, logger log.Interface) *memory.Bound {
+	b := memory.ForProcess(0)
+	caller.Report(b, m.Set(), logger)
+	return b
+}
+
 // platformTimeout is the maximum duration of one call to the platform. It applies
 // also to a call whose context has no deadline.
 const platformTimeout = 20 * time.Second
@@ -175,9 +186,19 @@
 	return &accept.Parser{Config: c.Snapshot, MaxBody: s.MaxBody()}
 }
 
+// replayShare is the largest part of what callers can make the process hold that finished responses get.
+const replayShare = 0.25
+
 // NewReplays returns an empty table of finished responses, which are kept for replay to
-// retries. The setting for the replay memory limits the size of the table.
-func NewReplays(s *setup.Settings) *replay.Table { return replay.NewTable(s.ReplayMemory()) }
+// retries. The setting for the replay memory limits the size of the table, and replayShare of the bound b, from
+// which that part is taken.
+func NewReplays(s *setup.Settings, b *memory.Bound) (*replay.Table, error) {
+	size := min(s.ReplayMemory(), int64(replayShare*float64(b.Bytes())))
+	if _, ok := b.Open(size, 0, nil); !ok {
+		return nil, errors.New("node: no room for the responses that are kept for replay")
+	}
+	return replay.NewTable(size), nil
+}
 
 // NewReserver returns the reserver, which reserves a call's maximum cost in the budget
 // shares that h manages.
@@ -204,11 +225,11 @@
 func NewPipeline(
 	parser *accept.Parser, replays *replay.Table, reserver *hold.Reserver, picker *choose.Picker, sender *send.Sender, runner *relay.Runner,
 	recorder *settle.Recorder, metrics *meter.Metrics, registry *owner.Registry, claimer *once.Claimer, limiter *limit.Limiter, client *peers.Client,
-	server *peers.Server, logger log.Interface,
+	server *peers.Server, bound *memory.Bound, logger log.Interface,
 ) *flow.Pipeline {
 	p := &flow.Pipeline{
 		Parser: parser, Replays: replays, Reserver: reserver, Picker: picker, Sender: sender, Runner: runner, Recorder: recorder, Metrics: metrics, Registry: registry, Claimer: claimer,
-		FollowPeer: client.Follow, Admit: admit(limiter), Logger: logger,
+		FollowPeer: client.Follow, Admit: admit(limiter), Logger: logger, Bound: bound,
 	}
 	server.HandleClaim, server.HandleFollow = registry.Handle, p.ServeFollow
 	return p
--- a/internal/fleet/peers/client.go
+++ b/internal/fleet/peers/client.go
@@ -18,6 +18,7 @@
 	"jacinthladder.dev/coord/subset"
 	"jacinthladder.dev/internal/fleet/ledger"
 	"jacinthladder.dev/internal/fleet/peers/wire"
+	"jacinthladder.dev/internal/fleet/socket"
 )
 
 const (
@@ -54,7 +55,9 @@
 // opens connections; if it is nil, they are plain TCP.
 func NewClient(table *member.Table, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		d := socket.Dialer()
+		d.Timeout = dialTimeout
+		dial = d.DialContext
 	}
 	return &Client{
 		table:  table,
--- a/internal/fleet/tunnel/serve.go
+++ b/internal/fleet/tunnel/serve.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/fleet/memory"
+	"jacinthladder.dev/internal/fleet/socket"
 )
 
 // Path is the path of the requests for tunnels.
@@ -27,6 +30,13 @@
 	serveTimeout = 200 * time.Millisecond
 	// maxTunnels is the number of tunnels that an instance serves at a time.
 	maxTunnels = 2000
+	// copyBytes is the length of the buffer for what a peer sends.
+	copyBytes = 16 << 10
+	// tunnelBytes is what a tunnel takes of the memory of the process: the buffers of the kernel for both
+	// connections, and those for both directions.
+	tunnelBytes = 2*(socket.ReceiveBuffer+socket.SendBuffer) + maxFrame + copyBytes
+	// tunnelFiles is the number of files that a tunnel takes.
+	tunnelFiles = 2
 )
 
 // ErrCutOff means that no instance that was asked has a path to endpoints.
@@ -39,6 +49,8 @@
 	// Dial opens a connection by this instance's own path. It fails with ErrCutOff if this
 	// instance has none to any endpoint.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Bound is what all callers and tunnels may make this process hold.
+	Bound *memory.Bound
 	// Opened, if set, is called for each tunnel.
 	Opened func()
 
@@ -74,6 +86,12 @@
 		http.Error(w, "too many tunnels", http.StatusServiceUnavailable)
 		return
 	}
+	hold, ok := h.Bound.Open(tunnelBytes, tunnelFiles, nil)
+	if !ok {
+		http.Error(w, "no room for a tunnel", http.StatusBadGateway)
+		return
+	}
+	defer hold.Close()
 	ctx, cancel := context.WithTimeout(r.Context(), serveTimeout)
 	defer cancel()
 	endpoint, err := h.Dial(ctx, address)
@@ -112,7 +130,9 @@
 func join(peer net.Conn, fromPeer *bufio.Reader, endpoint net.Conn) {
 	var copies sync.WaitGroup
 	copies.Go(func() {
-		_, err := io.Copy(endpoint, fromPeer)
+		// Without the methods of TCP connections the bytes pass through this buffer, and not through a pipe
+		// of the kernel, which would keep much more.
+		_, err := io.CopyBuffer(struct{ io.Writer }{endpoint}, struct{ io.Reader }{fromPeer}, make([]byte, copyBytes))
 		endpoint.Close()
 		if err != nil {
 			io.Copy(io.Discard, fromPeer) // until the peer closes, or for lingerTime
--- a/internal/forward/conns/pool.go
+++ b/internal/forward/conns/pool.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"jacinthladder.dev/internal/fleet/socket"
 )
 
 const (
@@ -148,6 +150,7 @@
 
 // dialTCP opens a TCP connection to an address, without keep-alive probes.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAlive: -1}
+	d := socket.Dialer()
+	d.KeepAlive = -1
 	return d.DialContext(ctx, "tcp", address)
 }
--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -227,7 +227,7 @@
 func partIDs(parts []meta.Part) string {
 	var ids []string
 	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-		ids = append(ids, p.ID)
+		ids = append(ids, limitText(p.ID))
 	}
 	return strings.Join(ids, ",")
 }
--- a/internal/forward/serve/refusal.go
+++ b/internal/forward/serve/refusal.go
@@ -31,6 +31,7 @@
 	NoCapacity        Code = "no_capacity"     // no endpoint took the request, so it did not run
 	OriginUnknown     Code = "origin_unknown"  // it is not known which software version began the stream that the request resumes
 	VersionGone       Code = "version_gone"    // no endpoint of the version that began the stream is left
+	Full              Code = "full"            // there is no room for the request in the memory of the process, and it did not run
 	Stopping          Code = "stopping"        // this instance performs a planned stop, and the request did not run
 	NoResponse        Code = "no_answer"       // the request may have run, but no complete response arrived
 	Timeout           Code = "timeout"         // like NoResponse, at the deadline of the request
@@ -52,6 +53,7 @@
 	NoCapacity:        http.StatusServiceUnavailable,
 	OriginUnknown:     http.StatusServiceUnavailable,
 	VersionGone:       http.StatusServiceUnavailable,
+	Full:              http.StatusServiceUnavailable,
 	Stopping:          http.StatusServiceUnavailable,
 	NoResponse:        http.StatusBadGateway,
 	Timeout:           http.StatusGatewayTimeout,
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync"
@@ -14,6 +14,8 @@
 
 	"jacinthladder.dev/coord/escrow"
 	"jacinthladder.dev/coord/retry"
+	"jacinthladder.dev/internal/fleet/caller"
+	"jacinthladder.dev/internal/fleet/memory"
 	"jacinthladder.dev/internal/forward/conns"
 	"jacinthladder.dev/internal/forward/meta"
 	"jacinthladder.dev/internal/forward/origin"
@@ -34,6 +36,15 @@
 	// defaultTimeout bounds the time from the arrival of a request to the end of its
 	// response if neither its route nor its caller sets a bound.
 	defaultTimeout = time.Minute
+	// requestBytes is what a request takes of the memory of the process beside its head, its body and what
+	// is kept of its response: its connection to an endpoint, and buffers.
+	requestBytes = 48 << 10
+	// minFullRetryAfter and fullRetrySpread give the time after which a caller is told to retry if there is
+	// no room for its request in the memory of the process.
+	minFullRetryAfter = 200 * time.Millisecond
+	fullRetrySpread   = 300 * time.Millisecond
+	// maxRequestID is the length of the longest ID of a request, in bytes.
+	maxRequestID = 128
 	// configRetryAfter is the time after which a caller is told to retry if this
 	// instance has no configuration yet, or if the service of the route is not
 	// configured.
@@ -106,21 +117,22 @@
 	billedTokens int64     // tokens spent by the request, set when the reservation is settled
 	deadline     time.Time // time by which the response must be complete
 
-	attempts      int         // number of endpoints to which the request, or a part of it, may have been sent
-	tried         []string    // IDs of the endpoints that were tried and are not picked again
-	addresses     []string    // addresses of these endpoints, and of the present one
-	mayHaveRun    bool        // the request may have run at an endpoint
-	relay         *relay      // writes the response to the caller
-	lastErr       error       // error of the last failed attempt
-	sentAt        time.Time   // when the current attempt was sent, zero before
-	version       string      // software version of the endpoint that began the stream, empty before the first event
-	relayed       bool        // the current attempt goes by way of a peer
-	openedAt      time.Time   // when the connection of the current attempt was opened
-	unconfirmed   bool        // the stream has begun, and it is not sure yet at which endpoint
-	originUnknown atomic.Bool // the stream has begun at an endpoint whose version is in doubt
-	sentFrom      string      // ID of the event after which the current attempt resumes the stream, empty if it begins one
-	received      receipt     // describes the response of the current attempt
-	space         space       // for what is kept of incomplete responses
+	attempts      int          // number of endpoints to which the request, or a part of it, may have been sent
+	tried         []string     // IDs of the endpoints that were tried and are not picked again
+	addresses     []string     // addresses of these endpoints, and of the present one
+	mayHaveRun    bool         // the request may have run at an endpoint
+	relay         *relay       // writes the response to the caller
+	lastErr       error        // error of the last failed attempt
+	sentAt        time.Time    // when the current attempt was sent, zero before
+	version       string       // software version of the endpoint that began the stream, empty before the first event
+	relayed       bool         // the current attempt goes by way of a peer
+	openedAt      time.Time    // when the connection of the current attempt was opened
+	unconfirmed   bool         // the stream has begun, and it is not sure yet at which endpoint
+	originUnknown atomic.Bool  // the stream has begun at an endpoint whose version is in doubt
+	sentFrom      string       // ID of the event after which the current attempt resumes the stream, empty if it begins one
+	received      receipt      // describes the response of the current attempt
+	room          *memory.Hold // for what the request makes this process hold
+	space         space        // for what is kept of incomplete responses
 }
 
 // ServeHTTP forwards one request to an endpoint and relays the response, or sends a
@@ -130,7 +142,8 @@
 	defer s.requests.Done()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	x := &exchange{Server: s, w: w, r: r, startedAt: time.Now(), space: space{shared: &s.spaceTaken}}
+	room := memory.From(r.Context())
+	x := &exchange{Server: s, w: w, r: r, startedAt: time.Now(), room: room, space: space{shared: &s.spaceTaken, hold: room}}
 	defer x.space.release()
 	x.relay = newRelay(x)
 	err := x.accept()
@@ -153,6 +166,9 @@
 		return refuse(HeaderTooLarge, "the header is longer than %d bytes", limits.MaxHeader)
 	}
 	request, err := x.Codec.DecodeRequest(x.r.Header)
+	if len(request.ID) > maxRequestID {
+		return refuse(BadRequest, "the ID of the request is longer than %d bytes", maxRequestID)
+	}
 	x.request = request
 	if err != nil {
 		return refuse(BadRequest, "%s", err)
@@ -160,6 +176,9 @@
 	if err := x.match(); err != nil {
 		return err
 	}
+	if !x.room.Grow(requestBytes) {
+		return refuseFull()
+	}
 	if err := x.readBody(limits.MaxBody); err != nil {
 		return err
 	}
@@ -209,29 +228,33 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	if x.r.ContentLength > limit {
-		return refuse(BodyTooLarge, "the body is longer than %d bytes", limit)
-	}
 	if err := x.relay.control.SetReadDeadline(x.deadline); err != nil {
 		return errCallerGone
 	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	body, err := caller.ReadBody(x.w, x.r, limit)
 	if err := x.relay.control.SetReadDeadline(time.Time{}); err != nil {
 		return errCallerGone
 	}
 	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return refuse(BodyTooLarge, "the body is longer than %d bytes", limit)
+	case errors.Is(err, memory.ErrNoRoom):
+		return refuseFull()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuse(BodyTooSlow, "the body did not come in time")
 	case err != nil:
 		return refuse(BadRequest, "the body broke off")
-	case int64(len(body)) > limit:
-		return refuse(BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
 	x.body = body
 	x.declaresBody = x.r.ContentLength >= 0 && x.r.Header.Get("Content-Length") != "" || len(x.r.TransferEncoding) > 0
 	return nil
 }
 
+// refuseFull returns the refusal of a request for which there is no room in the memory of the process.
+func refuseFull() *Refusal {
+	return refuse(Full, "there is no room for the request now").withRetryAfter(minFullRetryAfter + rand.N(fullRetrySpread))
+}
+
 // serve finds out which version began a stream that is resumed, reserves the tokens of the request, sends the request to endpoints, relays
 // the response and settles the reservation.
 func (x *exchange) serve() error {
--- a/internal/forward/serve/space.go
+++ b/internal/forward/serve/space.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"jacinthladder.dev/internal/fleet/memory"
 )
 
 const (
@@ -26,6 +28,7 @@
 type space struct {
 	shared *atomic.Int64 // bytes taken by all requests
 	taken  int64         // of these, by this one
+	hold   *memory.Hold  // from which they are taken, too
 }
 
 // grow makes room for length bytes, and reports whether there is any.
@@ -38,7 +41,7 @@
 	if more <= 0 {
 		return true
 	}
-	if s.shared.Add(more) > maxSpace {
+	if s.shared.Add(more) > maxSpace || !s.hold.Grow(more) {
 		s.shared.Add(-more)
 		return false
 	}
@@ -49,6 +52,7 @@
 // release gives the room back.
 func (s *space) release() {
 	s.shared.Add(-s.taken)
+	s.hold.Shrink(s.taken)
 	s.taken = 0
 }
 
