forward/picker: bound the parts of prompts that are remembered

What callers saw: nothing yet; found while looking for what callers can make a process hold. The estimate of an engine's cache is bounded by tokens, and callers name the tokens and IDs of parts: parts of 0 tokens, or with IDs of 16 KB, make it grow without an end.

Change: 4,096 parts for each engine at most, IDs of 64 bytes at most. Engines of the users' deployments have room for some hundreds of parts.

Evidence: TestPromptCacheIsBounded; with the two new conditions taken out it fails (24,577 parts, IDs of 10 KB).

--- a/internal/forward/picker/cache.go
+++ b/internal/forward/picker/cache.go
@@ -6,6 +6,14 @@
 	"jacinthladder.dev/internal/forward/meta"
 )
 
+const (
+	// maxParts is the largest number of parts that a cache remembers. Callers name the parts and their
+	// tokens, so that the tokens alone do not bound the number.
+	maxParts = 4096
+	// maxPartID is the length of the longest ID of a part that a cache remembers, in bytes.
+	maxPartID = 64
+)
+
 // promptCache estimates which prompt parts a model engine has in its KV cache. They
 // are the parts that the engine has used most recently, up to a total number of
 // tokens. The least recently used parts are evicted first.
@@ -33,9 +41,12 @@
 }
 
 // add records that the engine has prefilled a prompt. It then evicts parts, least
-// recently used first, until the remaining parts have at most limit tokens together.
+// recently used first, until at most maxParts remain, which have at most limit tokens together.
 func (c *promptCache) add(prompt []meta.Part, limit int64) {
 	for _, part := range prompt {
+		if len(part.ID) > maxPartID {
+			break // what follows it is not found without it either
+		}
 		if e := c.byID[part.ID]; e != nil {
 			c.lru.MoveToFront(e)
 			continue
@@ -43,7 +54,7 @@
 		c.byID[part.ID] = c.lru.PushFront(part)
 		c.tokens += part.Tokens
 	}
-	for c.tokens > limit && c.lru.Len() > 0 {
+	for (c.tokens > limit || c.lru.Len() > maxParts) && c.lru.Len() > 0 {
 		last := c.lru.Back()
 		part := last.Value.(meta.Part)
 		c.lru.Remove(last)
