conns, tunnel, send: a reset during an upload does not end a response

The caller gets that part as a complete answer. An answer with the status 000 is taken, too.

Cause: the system reports a reset once, to whoever reads or writes first. The upload, written in the background, took the error; the reader then saw the end of the connection, which is the end of such a body. A peer that relays the connection, and net/http on the own surface, do the same. net/http takes any status that is not negative; the forwarded surface took those below 200 for interim ones and the body of a 000 for the next response.

Ruled out: asking the socket for its state, which tells a reset only on some systems; refusing all responses without a length.

Change: at the end of a body that ends with its connection, the result of the upload is asked for; if the write failed, or does not end in 200 ms, the response is broken. A peer then ends its tunnel without the last frame. A status below 100 is none.

--- a/internal/entry/send/send.go
+++ b/internal/entry/send/send.go
@@ -155,7 +155,7 @@
 func (s *Sender) openStream(r *http.Request, c *call.Call, do func(*http.Request) (*http.Response, error)) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	watchdog := newWatchdog(c.Service().StallTimeout(), cancel)
-	tracker := connTracker{}
+	tracker := newConnTracker()
 	resp, err := do(r.WithContext(tracker.trace(ctx)))
 	if err != nil {
 		watchdog.stop()
@@ -205,7 +205,7 @@
 // Any other error means that the call may have run.
 func (s *Sender) Call(ctx context.Context, base string, c *call.Call) (Response, error) {
 	p := c.Plain()
-	tracker := connTracker{}
+	tracker := newConnTracker()
 	r, err := http.NewRequestWithContext(tracker.trace(ctx), p.Method, base+p.Path, bytes.NewReader(p.Body))
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotAccepted)
@@ -226,6 +226,9 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(leavingHeader) == "true" {
 		return Response{}, ErrLeaving
 	}
+	if resp.StatusCode < http.StatusContinue {
+		return Response{}, errors.Wrapf(ErrBroken, "response of the plain service has the status %03d, which is none", resp.StatusCode)
+	}
 	hold := memory.From(ctx)
 	body, err := memory.ReadAll(resp.Body, hold, unknownLength, MaxResponse)
 	if errors.Is(err, memory.ErrTooLarge) {
@@ -234,23 +237,62 @@
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrBroken)
 	}
+	if endsByClose(resp) && !tracker.uploaded() {
+		return Response{}, errors.Wrap(ErrBroken, "connection ended before the request was written")
+	}
 	if !hold.Grow(int64(responseCopies * len(body))) {
 		return Response{}, errors.Mark(memory.ErrNoRoom, ErrBroken)
 	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// connTracker records whether the HTTP client got a connection for a request. Without
-// a connection the request was not sent.
-type connTracker struct{ connected atomic.Bool }
+// uploadTimeout is how long the end of a write is waited for after an endpoint has closed its connection.
+const uploadTimeout = 200 * time.Millisecond
+
+// endsByClose reports whether the body of a response ends with its connection.
+func endsByClose(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// connTracker records whether the HTTP client got a connection for a request, and whether it has written the
+// request. Without a connection the request was not sent.
+type connTracker struct {
+	connected atomic.Bool
+	written   chan error // receives the result of the write
+}
+
+func newConnTracker() *connTracker { return &connTracker{written: make(chan error, 1)} }
 
 // trace returns a context for the request to be tracked. It is derived from ctx.
 func (t *connTracker) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			t.connected.Store(true)
+			select {
+			case <-t.written: // of a connection that the client has given up
+			default:
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case t.written <- info.Err:
+			default:
+			}
+		},
 	})
 }
 
+// uploaded reports whether the request was written to its end. If a response ended with its connection before
+// that, it may have been broken off by a reset, which the system reports only once, to whoever reads or writes first.
+func (t *connTracker) uploaded() bool {
+	select {
+	case err := <-t.written:
+		return err == nil
+	case <-time.After(uploadTimeout):
+		return false
+	}
+}
+
 // classify marks the error err of a failed request. If the request got no connection,
 // it was not sent, and the mark is ErrNotAccepted. If ctx, the context of the request,
 // ended with the cause ErrStalled, the mark is ErrStalled. Otherwise it is ErrBroken.
--- a/internal/fleet/tunnel/frame.go
+++ b/internal/fleet/tunnel/frame.go
@@ -17,9 +17,13 @@
 	frameHeader = 2
 )
 
+// errBroken means that the connection to the endpoint has ended after a write to it had failed. The system
+// reports a reset only once, so the connection may have ended by one.
+var errBroken = errors.New("tunnel: the connection to the endpoint broke")
+
 // writeFrames copies src to dst in frames, until src ends or fails. It writes the last frame only if
-// src has ended.
-func writeFrames(dst io.Writer, src io.Reader) error {
+// src has ended and whole reports that this was no reset.
+func writeFrames(dst io.Writer, src io.Reader, whole func() bool) error {
 	buffer := make([]byte, frameHeader+maxFrame)
 	for {
 		n, err := src.Read(buffer[frameHeader:])
@@ -30,6 +34,9 @@
 				return errors.Wrap(err, "tunnel: write a frame")
 			}
 		}
+		if ended && !whole() {
+			return errBroken
+		}
 		if ended {
 			_, err := dst.Write(make([]byte, frameHeader))
 			return errors.Wrap(err, "tunnel: write the last frame")
--- a/internal/fleet/tunnel/serve.go
+++ b/internal/fleet/tunnel/serve.go
@@ -121,6 +121,42 @@
 	join(peer, buffered.Reader, endpoint)
 }
 
+// uploadTimeout is how long a write to an endpoint may go on after the endpoint has closed its connection.
+const uploadTimeout = 200 * time.Millisecond
+
+// upload writes what a peer sends to an endpoint, and remembers whether a write failed.
+type upload struct {
+	endpoint net.Conn
+	turn     chan bool // holds whether all writes have succeeded, except during a write
+}
+
+func newUpload(endpoint net.Conn) *upload {
+	u := &upload{endpoint: endpoint, turn: make(chan bool, 1)}
+	u.turn <- true
+	return u
+}
+
+// Write writes to the endpoint.
+func (u *upload) Write(p []byte) (int, error) {
+	whole := <-u.turn
+	n, err := u.endpoint.Write(p)
+	u.turn <- whole && err == nil
+	return n, err
+}
+
+// whole reports whether all writes have succeeded. A write that does not end in uploadTimeout counts as failed.
+func (u *upload) whole() bool {
+	timeout := time.NewTimer(uploadTimeout)
+	defer timeout.Stop()
+	select {
+	case whole := <-u.turn:
+		u.turn <- whole
+		return whole
+	case <-timeout.C:
+		return false
+	}
+}
+
 // lingerTime is the time for which an instance still reads what a peer sends after the endpoint has
 // closed its connection, because a reset would destroy the end of the response.
 const lingerTime = 2 * time.Second
@@ -129,16 +165,17 @@
 // until one of them closes its connection.
 func join(peer net.Conn, fromPeer *bufio.Reader, endpoint net.Conn) {
 	var copies sync.WaitGroup
+	up := newUpload(endpoint)
 	copies.Go(func() {
 		// Without the methods of TCP connections the bytes pass through this buffer, and not through a pipe
 		// of the kernel, which would keep much more.
-		_, err := io.CopyBuffer(struct{ io.Writer }{endpoint}, struct{ io.Reader }{fromPeer}, make([]byte, copyBytes))
+		_, err := io.CopyBuffer(up, struct{ io.Reader }{fromPeer}, make([]byte, copyBytes))
 		endpoint.Close()
 		if err != nil {
 			io.Copy(io.Discard, fromPeer) // until the peer closes, or for lingerTime
 		}
 	})
-	if err := writeFrames(peer, endpoint); err != nil {
+	if err := writeFrames(peer, endpoint, up.whole); err != nil {
 		peer.Close() // without the last frame, which tells the peer
 	} else if err := peer.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
 		peer.Close()
--- a/internal/forward/conns/conn.go
+++ b/internal/forward/conns/conn.go
@@ -120,11 +120,14 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "conns: read the header of the endpoint's response")
 		}
+		if resp.StatusCode < http.StatusContinue {
+			return nil, errors.Newf("conns: the endpoint's response has the status %03d, which is none", resp.StatusCode)
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			c.closing = c.closing || resp.Close
 			if resp.Body != http.NoBody {
 				c.unread = true
-				resp.Body = &body{ReadCloser: resp.Body, conn: c}
+				resp.Body = &body{ReadCloser: resp.Body, conn: c, endsByClose: FramingOf(resp) == ByClose}
 			}
 			return resp, nil
 		}
@@ -136,16 +139,47 @@
 // end.
 type body struct {
 	io.ReadCloser
-	conn *Conn
+	conn        *Conn
+	endsByClose bool
 }
 
+// errUploadBroken means that a response ended with its connection while the body of the request could not be
+// written to its end. The system reports a reset only once, to whoever reads or writes first, so the
+// response may have been broken off by one.
+var errUploadBroken = errors.New("conns: the connection ended before the request was written")
+
 // Read reads from the body of the response.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.conn.unread = false
+	if err != io.EOF {
+		return n, err
+	}
+	if b.endsByClose && !b.conn.uploaded() {
+		return n, errUploadBroken
+	}
+	b.conn.unread = false
+	return n, io.EOF
+}
+
+// uploadTimeout is how long the end of a write is waited for after the endpoint has closed its connection. A write
+// that the reset of the connection ends returns at once.
+const uploadTimeout = 200 * time.Millisecond
+
+// uploaded reports whether the body of the last request was written to its end.
+func (c *Conn) uploaded() bool {
+	if c.bodyResult == nil {
+		return true
+	}
+	timeout := time.NewTimer(uploadTimeout)
+	defer timeout.Stop()
+	select {
+	case err := <-c.bodyResult:
+		c.bodyResult = nil
+		c.closing = c.closing || err != nil
+		return err == nil
+	case <-timeout.C:
+		return false
 	}
-	return n, err
 }
 
 // SetIdleTimeout sets the idle timeout that the endpoint announced for the
