--- a/internal/entry/flow/keyed.go
+++ b/internal/entry/flow/keyed.go
@@ -51,15 +51,15 @@
 		return err
 	}
 	if first {
-		hold, ok := p.Bound.Open(attemptBytes+2*c.Size(), attemptFiles, nil)
+		reserved, ok := p.Bound.Open(attemptBytes+2*c.Size(), attemptFiles, nil)
 		if !ok {
 			err := call.Refuse(call.Full, "there is no room for the request now").RetryAfter(time.Second)
 			p.Replays.End(e, err, false, 0)
 			return err
 		}
-		ctx := memory.With(context.WithoutCancel(ctx), hold)
+		ctx := memory.With(context.WithoutCancel(ctx), reserved)
 		p.background.Go(func() {
-			defer hold.Close()
+			defer reserved.Close()
 			p.runAttempt(ctx, c, e)
 		})
 	}
--- a/internal/entry/send/send.go
+++ b/internal/entry/send/send.go
@@ -229,8 +229,8 @@
 	if resp.StatusCode < http.StatusContinue {
 		return Response{}, errors.Wrapf(ErrBroken, "response of the plain service has the status %03d, which is none", resp.StatusCode)
 	}
-	hold := memory.From(ctx)
-	body, err := memory.ReadAll(resp.Body, hold, unknownLength, MaxResponse)
+	reserved := memory.From(ctx)
+	body, err := memory.ReadAll(resp.Body, reserved, unknownLength, MaxResponse)
 	if errors.Is(err, memory.ErrTooLarge) {
 		return Response{}, errors.Wrapf(ErrBroken, "response of the plain service is larger than %d bytes", MaxResponse)
 	}
@@ -240,7 +240,7 @@
 	if endsByClose(resp) && !tracker.uploaded() {
 		return Response{}, errors.Wrap(ErrBroken, "connection ended before the request was written")
 	}
-	if !hold.Grow(int64(responseCopies * len(body))) {
+	if !reserved.Grow(int64(responseCopies * len(body))) {
 		return Response{}, errors.Mark(memory.ErrNoRoom, ErrBroken)
 	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
--- a/internal/fleet/caller/body.go
+++ b/internal/fleet/caller/body.go
@@ -8,21 +8,21 @@
 	"jacinthladder.dev/internal/fleet/memory"
 )
 
-// ReadBody reads the body of a request to its end, at most limit bytes. Its room is taken from the hold in
+// ReadBody reads the body of a request to its end, at most limit bytes. Its room is taken from the reservation in
 // the context of the request, as memory.ReadAll does, and stays taken until the request has ended. It fails with
 // memory.ErrNoRoom also if the connection is ended for others before the body is complete.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	c, hold := from(r), memory.From(r.Context())
+	c, reserved := from(r), memory.From(r.Context())
 	if c == nil {
-		return memory.ReadAll(r.Body, hold, r.ContentLength, limit)
+		return memory.ReadAll(r.Body, reserved, r.ContentLength, limit)
 	}
 	if !c.enter(body) {
 		return nil, memory.ErrNoRoom
 	}
-	data, err := memory.ReadAll(r.Body, hold, r.ContentLength, limit)
+	data, err := memory.ReadAll(r.Body, reserved, r.ContentLength, limit)
 	if !c.enter(running) || errors.Is(err, errEnded) {
 		return nil, memory.ErrNoRoom
 	}
--- a/internal/fleet/caller/conn.go
+++ b/internal/fleet/caller/conn.go
@@ -52,11 +52,11 @@
 	running              // serves a request
 )
 
-// conn is a connection of a caller. Its hold is ended only while it waits for the caller.
+// conn is a connection of a caller. Its reservation is ended only while it waits for the caller.
 type conn struct {
 	net.Conn
-	bound *memory.Bound
-	hold  *memory.Hold
+	bound    *memory.Bound
+	reserved *memory.Reservation
 
 	mu        sync.Mutex
 	phase     phase
@@ -67,11 +67,11 @@
 	closed    bool
 }
 
-// open opens the hold of the connection and reports whether there is room for it.
+// open opens the reservation of the connection and reports whether there is room for it.
 func (c *conn) open() bool {
 	var ok bool
-	if c.hold, ok = c.bound.Open(connBytes, connFiles, c.end); ok {
-		c.hold.Wait()
+	if c.reserved, ok = c.bound.Open(connBytes, connFiles, c.end); ok {
+		c.reserved.Wait()
 	}
 	return ok
 }
@@ -117,7 +117,7 @@
 	if ended {
 		return 0, errEnded
 	}
-	if inHead && n > 0 && !c.hold.Grow(int64(headFactor*n+lineBytes*bytes.Count(b[:n], []byte{'\n'}))) {
+	if inHead && n > 0 && !c.reserved.Grow(int64(headFactor*n+lineBytes*bytes.Count(b[:n], []byte{'\n'}))) {
 		c.refuseHead()
 		return 0, errEnded
 	}
@@ -141,7 +141,7 @@
 	c.blocked = time.Now()
 	c.mu.Unlock()
 	if waits {
-		c.hold.Wait()
+		c.reserved.Wait()
 	}
 	n, err := c.writePieces(b)
 	c.mu.Lock()
@@ -149,7 +149,7 @@
 	waits = waits && c.phase == running
 	c.mu.Unlock()
 	if waits {
-		c.hold.Run()
+		c.reserved.Run()
 	}
 	return n, err
 }
@@ -207,7 +207,7 @@
 	c.Close()
 }
 
-// Close closes the connection. Its hold is closed when its request has ended, too.
+// Close closes the connection. Its reservation is closed when its request has ended, too.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.mu.Lock()
@@ -215,7 +215,7 @@
 	inRequest := c.inRequest
 	c.mu.Unlock()
 	if !inRequest {
-		c.hold.Close()
+		c.reserved.Close()
 	}
 	return err
 }
@@ -226,9 +226,9 @@
 	defer c.mu.Unlock()
 	c.phase = p
 	if p == running {
-		c.hold.Run()
+		c.reserved.Run()
 	} else {
-		c.hold.Wait()
+		c.reserved.Wait()
 	}
 	return !c.ended
 }
@@ -251,10 +251,10 @@
 	unread, closed := c.unread, c.closed
 	c.mu.Unlock()
 	if closed {
-		c.hold.Close()
+		c.reserved.Close()
 		return
 	}
-	c.hold.ShrinkTo(connBytes)
+	c.reserved.ShrinkTo(connBytes)
 	c.enter(body)
 	if unread {
 		if err := c.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
--- a/internal/fleet/caller/conns.go
+++ b/internal/fleet/caller/conns.go
@@ -59,7 +59,7 @@
 	if cn == nil {
 		return ctx
 	}
-	return memory.With(context.WithValue(ctx, contextKey{}, cn), cn.hold)
+	return memory.With(context.WithValue(ctx, contextKey{}, cn), cn.reserved)
 }
 
 // unwrap returns the connection of this package that nc is or wraps, nil if there is none.
--- a/internal/fleet/caller/report.go
+++ b/internal/fleet/caller/report.go
@@ -23,7 +23,7 @@
 	loggedAt       time.Time
 }
 
-// Report makes a bound count in set, and log, which holds it ends and for which there is no room. It also adds a
+// Report makes a bound count in set, and log, which reservations it ends and for which there is no room. It also adds a
 // gauge of what callers make the process hold.
 func Report(b *memory.Bound, set *metrics.Set, logger log.Interface) {
 	r := &reporter{bound: b, logger: logger}
--- a/internal/fleet/memory/bound_test.go
+++ b/internal/fleet/memory/bound_test.go
@@ -14,23 +14,23 @@
 	"pgregory.net/rapid"
 )
 
-// script runs the commands of a file in testdata. Holds have names.
+// script runs the commands of a file in testdata. Reservations have names.
 type script struct {
-	bound *Bound
-	now   time.Duration
-	holds map[string]*Hold
-	ended []string // names of the holds that were ended since the last command
+	bound    *Bound
+	now      time.Duration
+	reserved map[string]*Reservation
+	ended    []string // names of the reservations that were ended since the last command
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	s.ended = nil
 	result := "ok"
-	switch name := arg(d, "hold"); d.Cmd {
+	switch name := arg(d, "name"); d.Cmd {
 	case "bound":
 		var kilobytes, files int
 		d.ScanArgs(t, "kilobytes", &kilobytes)
 		d.ScanArgs(t, "files", &files)
-		s.bound, s.holds = NewBound(int64(kilobytes)<<10, files), map[string]*Hold{}
+		s.bound, s.reserved = NewBound(int64(kilobytes)<<10, files), map[string]*Reservation{}
 		s.bound.now = func() time.Duration { return s.now }
 	case "open":
 		closes := d.HasArg("closes")
@@ -38,19 +38,19 @@
 		if !ok {
 			return "no room" + s.endings()
 		}
-		s.holds[name] = h
+		s.reserved[name] = h
 	case "grow":
-		if !s.holds[name].Grow(s.bytes(t, d)) {
+		if !s.reserved[name].Grow(s.bytes(t, d)) {
 			result = "no room"
 		}
 	case "shrink":
-		s.holds[name].Shrink(s.bytes(t, d))
+		s.reserved[name].Shrink(s.bytes(t, d))
 	case "wait":
-		s.holds[name].Wait()
+		s.reserved[name].Wait()
 	case "run":
-		s.holds[name].Run()
+		s.reserved[name].Run()
 	case "close":
-		s.holds[name].Close()
+		s.reserved[name].Close()
 	case "pass":
 		var milliseconds int
 		d.ScanArgs(t, "ms", &milliseconds)
@@ -61,11 +61,11 @@
 	return fmt.Sprintf("%s, %d KB%s", result, s.bound.Held()>>10, s.endings())
 }
 
-// end ends a hold, and closes it at once if closes is set.
+// end ends a reservation, and closes it at once if closes is set.
 func (s *script) end(name string, closes bool) bool {
 	s.ended = append(s.ended, name)
 	if closes {
-		s.holds[name].Close()
+		s.reserved[name].Close()
 	}
 	return true
 }
@@ -100,20 +100,20 @@
 	})
 }
 
-// Whatever is opened, grown and closed, the holds never take more than the bound, and nothing is left of closed ones.
-func TestHoldsStayWithinTheirBound(t *testing.T) {
+// Whatever is opened, grown and closed, the reservations never take more than the bound, and nothing is left of closed ones.
+func TestReservationsStayWithinTheirBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit, files = 8 << 20, 20
 		b := NewBound(limit, files)
-		var holds []*Hold
+		var reserved []*Reservation
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			size := rapid.Int64Range(0, 4<<20).Draw(t, "size")
-			if len(holds) == 0 || rapid.Bool().Draw(t, "opens") {
+			if len(reserved) == 0 || rapid.Bool().Draw(t, "opens") {
 				if h, ok := b.Open(size, 1, nil); ok {
-					holds = append(holds, h)
+					reserved = append(reserved, h)
 				}
 			} else {
-				h := holds[rapid.IntRange(0, len(holds)-1).Draw(t, "which")]
+				h := reserved[rapid.IntRange(0, len(reserved)-1).Draw(t, "which")]
 				switch rapid.IntRange(0, 3).Draw(t, "what") {
 				case 0:
 					h.Grow(size)
@@ -126,29 +126,29 @@
 				}
 			}
 			var sum, large int64
-			for h := range b.holds {
+			for h := range b.reservations {
 				sum += h.bytes
 				large += h.largeBytes(h.bytes)
 			}
 			if b.held != sum || b.held > limit || b.open > files || b.large != large || float64(large) > largeShare*limit {
-				t.Fatalf("the holds take %d bytes, %d of large ones, and %d files; the bound says %d, %d, of %d bytes and %d files", sum, large, len(b.holds), b.held, b.large, limit, files)
+				t.Fatalf("the reservations take %d bytes, %d of large ones, and %d files; the bound says %d, %d, of %d bytes and %d files", sum, large, len(b.reservations), b.held, b.large, limit, files)
 			}
 		}
-		for _, h := range holds {
+		for _, h := range reserved {
 			h.Close()
 		}
 		if b.held != 0 || b.open != 0 || b.large != 0 {
-			t.Fatalf("after all holds were closed, the bound has %d bytes, %d of large ones, and %d files, want none", b.held, b.large, b.open)
+			t.Fatalf("after all reservations were closed, the bound has %d bytes, %d of large ones, and %d files, want none", b.held, b.large, b.open)
 		}
 	})
 }
 
-// A newcomer gets the room of a hold that is ended, as soon as that is closed.
-func TestNewcomerWaitsForTheRoomOfEndedHolds(t *testing.T) {
+// A newcomer gets the room of a reservation that is ended, as soon as that is closed.
+func TestNewcomerWaitsForTheRoomOfEndedReservations(t *testing.T) {
 	b := NewBound(1<<20, 10)
 	passed := time.Duration(1)
 	b.now = func() time.Duration { return passed }
-	var first *Hold
+	var first *Reservation
 	first, _ = b.Open(250<<10, 1, func() bool {
 		time.AfterFunc(20*time.Millisecond, first.Close)
 		return true
@@ -158,7 +158,7 @@
 	b.Open(60<<10, 1, nil)
 	passed += time.Second
 	if !second.Grow(60 << 10) {
-		t.Error("there was no room for a hold after another one was ended for it, want room")
+		t.Error("there was no room for a reservation after another one was ended for it, want room")
 	}
 }
 
--- a/internal/fleet/memory/read.go
+++ b/internal/fleet/memory/read.go
@@ -16,21 +16,21 @@
 // firstPiece is the room for what has no known length when it begins, in bytes.
 const firstPiece = 16 << 10
 
-// ReadAll reads from r to its end, at most limit bytes. Their room is taken from a hold before they are read,
+// ReadAll reads to the end, at most limit bytes. Their room is taken from a reservation before they are read,
 // and stays taken. A length below 0 is not known. After an error the room is given back.
-func ReadAll(r io.Reader, h *Hold, length, limit int64) ([]byte, error) {
-	b := buffer{hold: h}
+func ReadAll(from io.Reader, r *Reservation, length, limit int64) ([]byte, error) {
+	b := buffer{reserved: r}
 	var err error
 	switch {
 	case length > limit:
 		return nil, ErrTooLarge
 	case length >= 0:
-		err = b.readLength(r, int(length))
+		err = b.readLength(from, int(length))
 	default:
-		err = b.readToEnd(r, int(limit))
+		err = b.readToEnd(from, int(limit))
 	}
 	if err != nil {
-		h.Shrink(int64(cap(b.data)))
+		r.Shrink(int64(cap(b.data)))
 		return nil, err
 	}
 	return b.data, nil
@@ -38,18 +38,18 @@
 
 // buffer keeps what was read.
 type buffer struct {
-	hold *Hold
-	data []byte // its capacity is taken from hold
+	reserved *Reservation
+	data     []byte // its capacity is taken from reserved
 }
 
 // grow makes the capacity of the buffer size bytes. Until the data is copied, both old and new room is taken.
 func (b *buffer) grow(size int) error {
-	if !b.hold.Grow(int64(size)) {
+	if !b.reserved.Grow(int64(size)) {
 		return ErrNoRoom
 	}
 	data := make([]byte, len(b.data), size)
 	copy(data, b.data)
-	b.hold.Shrink(int64(cap(b.data)))
+	b.reserved.Shrink(int64(cap(b.data)))
 	b.data = data
 	return nil
 }
--- a/internal/fleet/memory/size.go
+++ b/internal/fleet/memory/size.go
@@ -43,7 +43,7 @@
 	return int64(callerShare * float64(memory))
 }
 
-// filesFor returns the number of files that holds may take.
+// filesFor returns the number of files that reservations may take.
 func filesFor() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
--- a/internal/fleet/tunnel/serve.go
+++ b/internal/fleet/tunnel/serve.go
@@ -86,12 +86,12 @@
 		http.Error(w, "too many tunnels", http.StatusServiceUnavailable)
 		return
 	}
-	hold, ok := h.Bound.Open(tunnelBytes, tunnelFiles, nil)
+	reserved, ok := h.Bound.Open(tunnelBytes, tunnelFiles, nil)
 	if !ok {
 		http.Error(w, "no room for a tunnel", http.StatusBadGateway)
 		return
 	}
-	defer hold.Close()
+	defer reserved.Close()
 	ctx, cancel := context.WithTimeout(r.Context(), serveTimeout)
 	defer cancel()
 	endpoint, err := h.Dial(ctx, address)
--- a/internal/forward/serve/server.go
+++ b/internal/forward/serve/server.go
@@ -117,22 +117,22 @@
 	billedTokens int64     // tokens spent by the request, set when the reservation is settled
 	deadline     time.Time // time by which the response must be complete
 
-	attempts      int          // number of endpoints to which the request, or a part of it, may have been sent
-	tried         []string     // IDs of the endpoints that were tried and are not picked again
-	addresses     []string     // addresses of these endpoints, and of the present one
-	mayHaveRun    bool         // the request may have run at an endpoint
-	relay         *relay       // writes the response to the caller
-	lastErr       error        // error of the last failed attempt
-	sentAt        time.Time    // when the current attempt was sent, zero before
-	version       string       // software version of the endpoint that began the stream, empty before the first event
-	relayed       bool         // the current attempt goes by way of a peer
-	openedAt      time.Time    // when the connection of the current attempt was opened
-	unconfirmed   bool         // the stream has begun, and it is not sure yet at which endpoint
-	originUnknown atomic.Bool  // the stream has begun at an endpoint whose version is in doubt
-	sentFrom      string       // ID of the event after which the current attempt resumes the stream, empty if it begins one
-	received      receipt      // describes the response of the current attempt
-	room          *memory.Hold // for what the request makes this process hold
-	space         space        // for what is kept of incomplete responses
+	attempts      int                 // number of endpoints to which the request, or a part of it, may have been sent
+	tried         []string            // IDs of the endpoints that were tried and are not picked again
+	addresses     []string            // addresses of these endpoints, and of the present one
+	mayHaveRun    bool                // the request may have run at an endpoint
+	relay         *relay              // writes the response to the caller
+	lastErr       error               // error of the last failed attempt
+	sentAt        time.Time           // when the current attempt was sent, zero before
+	version       string              // software version of the endpoint that began the stream, empty before the first event
+	relayed       bool                // the current attempt goes by way of a peer
+	openedAt      time.Time           // when the connection of the current attempt was opened
+	unconfirmed   bool                // the stream has begun, and it is not sure yet at which endpoint
+	originUnknown atomic.Bool         // the stream has begun at an endpoint whose version is in doubt
+	sentFrom      string              // ID of the event after which the current attempt resumes the stream, empty if it begins one
+	received      receipt             // describes the response of the current attempt
+	room          *memory.Reservation // for what the request makes this process hold
+	space         space               // for what is kept of incomplete responses
 }
 
 // ServeHTTP forwards one request to an endpoint and relays the response, or sends a
@@ -143,7 +143,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	room := memory.From(r.Context())
-	x := &exchange{Server: s, w: w, r: r, startedAt: time.Now(), room: room, space: space{shared: &s.spaceTaken, hold: room}}
+	x := &exchange{Server: s, w: w, r: r, startedAt: time.Now(), room: room, space: space{shared: &s.spaceTaken, reserved: room}}
 	defer x.space.release()
 	x.relay = newRelay(x)
 	err := x.accept()
--- a/internal/forward/serve/space.go
+++ b/internal/forward/serve/space.go
@@ -26,9 +26,9 @@
 // share what each may use beyond freeSpace, so that an endpoint which sends bytes without end can't
 // exhaust the memory of the instance.
 type space struct {
-	shared *atomic.Int64 // bytes taken by all requests
-	taken  int64         // of these, by this one
-	hold   *memory.Hold  // from which they are taken, too
+	shared   *atomic.Int64       // bytes taken by all requests
+	taken    int64               // of these, by this one
+	reserved *memory.Reservation // from which they are taken, too
 }
 
 // grow makes room for length bytes, and reports whether there is any.
@@ -41,7 +41,7 @@
 	if more <= 0 {
 		return true
 	}
-	if s.shared.Add(more) > maxSpace || !s.hold.Grow(more) {
+	if s.shared.Add(more) > maxSpace || !s.reserved.Grow(more) {
 		s.shared.Add(-more)
 		return false
 	}
@@ -52,7 +52,7 @@
 // release gives the room back.
 func (s *space) release() {
 	s.shared.Add(-s.taken)
-	s.hold.Shrink(s.taken)
+	s.reserved.Shrink(s.taken)
 	s.taken = 0
 }
 
