forward/serve: a request after the requests were given up does not begin

What callers saw: at the very end of a planned stop, after its requests were given up, a request that was just read could still be sent to an endpoint and got 502, or 503 no_capacity in place of stopping.

Cause: the context of such a request ends in a goroutine of its own, since the stop has happened already, and that races with the choice of an endpoint.

Change: the end of a stop is checked before the request begins, and before it is refused for want of an endpoint.

--- a/internal/forward/serve/attempt.go
+++ b/internal/forward/serve/attempt.go
@@ -144,6 +144,8 @@
 	switch {
 	case x.relay.failedResponse != nil:
 		return errFailed // the endpoint's own response is relayed
+	case x.abandoned().Err() != nil:
+		return x.stopError()
 	case x.mayHaveRun:
 		return refuse(NoResponse, "the request left and no whole answer came")
 	case x.version != "" && !x.Picker.Fits(x.pickInfo(nil)):
--- a/internal/forward/serve/stop.go
+++ b/internal/forward/serve/stop.go
@@ -41,8 +41,12 @@
 	return s.stopping.ctx
 }
 
-// checkStop returns a refusal if the instance stops before the deadline of the request.
+// checkStop returns a refusal if the instance stops before the deadline of the request, or has given up the requests
+// in progress.
 func (x *exchange) checkStop() error {
+	if x.abandoned().Err() != nil {
+		return refuseStopping()
+	}
 	if until := x.stopping.until.Load(); until == nil || !x.deadline.After(*until) {
 		return nil
 	}
