caller: a request on a connection that was ended does not begin

Cause, by reading: a connection is ended for others while it waits for a head. If the whole head was read just before, its request began; the server's next read then failed, which it takes for a caller that has gone, and the context of a request that runs ended.

Change: such a request is refused (503, not run). The check of what a process held stands once, in internal/stand/crowd.

Evidence: TestRequestOnAnEndedConnectionDoesNotBegin; without the change the request begins.

--- a/cmd/jacinthladder/crowd_test.go
+++ b/cmd/jacinthladder/crowd_test.go
@@ -198,12 +198,9 @@
 		c.t.Errorf("the process did not live all the time: %v", err)
 		return
 	}
-	c.t.Logf("at most %d MB, of these %d MB in the kernel, and %d descriptors", held.Total()>>20, held.Kernel>>20, held.Descriptors)
-	if held.Total() > crowdMemory<<20 {
-		c.t.Errorf("the process took %d MB of the machine, of these %d MB in the kernel, want at most its %d MB", held.Total()>>20, held.Kernel>>20, crowdMemory)
-	}
-	if held.Descriptors > crowdDescriptors {
-		c.t.Errorf("the process had %d descriptors open, want at most %d of its %d", held.Descriptors, crowdDescriptors, crowdFiles)
+	c.t.Log("at most ", held)
+	if err := (crowd.Limit{Megabytes: crowdMemory, Descriptors: crowdDescriptors}).Check(held); err != nil {
+		c.t.Error(err)
 	}
 }
 
--- a/internal/fleet/caller/caller_test.go
+++ b/internal/fleet/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -205,6 +206,24 @@
 	}
 }
 
+// A request whose head was read just before its connection was ended does not begin: the server would take the end of the
+// connection for a caller that has gone, and break the request off.
+func TestRequestOnAnEndedConnectionDoesNotBegin(t *testing.T) {
+	s := newServer(t, 1<<30, 10*connFiles)
+	nc, _ := s.dial("")
+	c := &conn{Conn: nc, bound: s.bound}
+	if !c.open() || !c.end() {
+		t.Fatal("a connection that waits for its caller was not ended, want it ended")
+	}
+	called := false
+	h := (&Conns{Bound: s.bound}).Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { called = true }))
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil).WithContext((&Conns{}).Context(t.Context(), c)))
+	if called || w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("the request began: %t, status %d, Retry-After %q, want a refusal with a time", called, w.Code, w.Header().Get("Retry-After"))
+	}
+}
+
 // A head for which there is no room is refused, in short lines too.
 func TestHeadWithoutRoomIsRefused(t *testing.T) {
 	s := newServer(t, connBytes+200_000, 100)
--- a/internal/fleet/caller/conn.go
+++ b/internal/fleet/caller/conn.go
@@ -30,8 +30,12 @@
 	minBlocked = time.Second
 )
 
-// refusal is sent to a caller in place of a response when there is no room for the head of its request.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// refusal is sent to a caller in place of a response when there is no room for the head of its request. It asks the
+// caller to retry after retryAfter seconds.
+const (
+	refusal    = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	retryAfter = "1"
+)
 
 // errEnded is the error of reads from a connection that was ended for others. It is a timeout, so that the
 // server closes the connection without a response if the head is not complete.
@@ -236,12 +240,14 @@
 // awaitHead records that the connection waits for a request.
 func (c *conn) awaitHead() { c.enter(head) }
 
-// beginRequest records that a request has begun.
-func (c *conn) beginRequest(hasBody bool) {
-	c.enter(running)
+// beginRequest records that a request has begun. It reports whether the connection was not ended for others while the
+// head was read.
+func (c *conn) beginRequest(hasBody bool) bool {
+	begins := c.enter(running)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inRequest, c.unread = true, hasBody
+	return begins
 }
 
 // endRequest gives back what the request has taken. What is left of its body is read for lingerTime at most.
--- a/internal/fleet/caller/conns.go
+++ b/internal/fleet/caller/conns.go
@@ -98,8 +98,14 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		cn.beginRequest(r.ContentLength != 0)
+		begins := cn.beginRequest(r.ContentLength != 0)
 		defer cn.endRequest()
+		if !begins {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", retryAfter)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if r.ContentLength != 0 {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/stand/crowd/watch.go
+++ b/internal/stand/crowd/watch.go
@@ -24,9 +24,28 @@
 	Descriptors int
 }
 
+// String says what is held.
+func (h Held) String() string {
+	return fmt.Sprintf("%d MB, of these %d MB in the kernel, and %d descriptors", h.Total()>>20, h.Kernel>>20, h.Descriptors)
+}
+
 // Total returns the memory that the process takes of its machine, in bytes.
 func (h Held) Total() int64 { return h.Memory + h.Kernel }
 
+// Limit is what a process may hold at most.
+type Limit struct {
+	Megabytes   int // memory of its machine
+	Descriptors int
+}
+
+// Check returns an error if a process has held more.
+func (l Limit) Check(h Held) error {
+	if h.Total() > int64(l.Megabytes)<<20 || h.Descriptors > l.Descriptors {
+		return errors.Newf("the process held %s, want at most %d MB and %d descriptors", h, l.Megabytes, l.Descriptors)
+	}
+	return nil
+}
+
 // Watch samples what a process holds and keeps the peaks.
 type Watch struct {
 	pid  int
