--- a/review/drill/data.go
+++ b/review/drill/data.go
@@ -31,6 +31,7 @@
 	Resumes  string `json:"resumes"`
 	Limit    string `json:"limit"`
 	Report   string `json:"report"`
+	Ready    string `json:"ready"`
 	Servers  string `json:"servers"`
 	Config   string `json:"config"`
 }
--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -147,7 +147,7 @@
 func (f *fleet) awaitReady(in *instance) error {
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get("http://" + in.Ready + "/-/ready")
+		resp, err := client.Get("http://" + in.Ready + names.Ready)
 		if err != nil {
 			continue
 		}
--- a/review/drill/server.go
+++ b/review/drill/server.go
@@ -26,6 +26,7 @@
 	Zone     string
 	Software string
 	Born     int64
+	ColdLeft int // milliseconds for which it is slow still
 	id       string
 	events   int           // of a whole stream
 	gap      time.Duration // between two events
